Refuse a client's repeat at once when its wanted time has passed

Half of all tries at a gateway are clients' repeats, and an answer past the aim is worth nothing; served all the same, they took units that first tries of the same customer then lacked. A repeat that is given less time than first tries of its class is given what is left of the class's deadline, so the time that the client has waited is known. First tries and unmarked ones are as before.

Tests fail without the change: a_repeat_whose_aim_has_passed_takes_no_quota, a_repeat_past_its_aim_is_refused_and_reaches_no_server, a_repeat_is_known_by_its_mark.

--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -90,8 +90,13 @@
     size_units: f64,
     #[serde(default)]
     n_entries: f64,
+    #[serde(default)]
+    bitmap: u32,
 }
 
+/// The bit that marks a client's repeat.
+const REPEAT: u32 = 2;
+
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct Headers {
@@ -178,6 +183,7 @@
                 deadline: lib::Time(m.deadline),
                 units: m.size_units,
                 gateways: m.n_entries as u32,
+                repeat: m.bitmap & REPEAT != 0,
             };
             (m.gateway_id, Incoming::Event(lib::Event::Request(request)))
         }
--- a/drill/tests/round_trip.rs
+++ b/drill/tests/round_trip.rs
@@ -39,6 +39,26 @@
     assert!(errors.contains("gateway-1, which was never started"), "{errors}");
 }
 
+#[test]
+fn a_repeat_is_known_by_its_mark() {
+    let init = INIT.replace('\n', "");
+    let sync = r#"{"Sync":{"GatewayId":"gateway-1","Scope":"cached","SeqNo":1,"Members":[{"Server":8,"Lifecycle":"Running"},{"Server":9,"Lifecycle":"Running"}]}}"#;
+    let request = |id: u32, deadline: u64, bits: u32| {
+        format!(
+            r#"{{"NewRequest":{{"GatewayId":"gateway-1","Tid":{id},"Deadline":{deadline},"SizeUnits":1,"NEntries":2,"Bitmap":{bits}}}}}"#
+        )
+    };
+    // The aim is 0.8 s of 3 s: with 1 s left it has passed, unless this is a first try (4 marks a write).
+    let first = request(5, 3_000_000_010, 4);
+    let (short, repeat) = (request(6, 1_000_000_010, 4), request(7, 1_000_000_010, 6));
+    let (lines, _) =
+        drill(&format!("{{\"AtTime\":10,\"items\":[{init},{sync},{first},{short},{repeat}]}}\n"));
+    for (id, action) in [(5, "Route"), (6, "Route"), (7, "Shed")] {
+        let wanted = format!(r#""{action}":{{"GatewayId":"gateway-1","Tid":{id},"#);
+        assert!(lines[0].contains(&wanted), "{wanted} in {}", lines[0]);
+    }
+}
+
 #[test]
 fn malformed_lines_are_named_and_passed_over() {
     let (lines, errors) = drill(concat!(
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -377,6 +377,7 @@
             deadline: engine.clock.now().after(wait),
             units: 1.0,
             gateways: 1,
+            repeat: false,
         };
         let order = Order {
             method: Default::default(),
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -68,6 +68,7 @@
 const PLAN: HeaderName = HeaderName::from_static("x-contract");
 const CUSTOMER: HeaderName = HeaderName::from_static("x-client-id");
 const METERING: HeaderName = HeaderName::from_static("x-metering");
+const REPEAT: HeaderName = HeaderName::from_static("x-second-try");
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 /// A request that reaches no server: the answer's status, and why.
@@ -504,6 +505,7 @@
             deadline: arrived.after(wait.saturating_sub(MARGIN)),
             units,
             gateways,
+            repeat: head.headers.get(REPEAT).is_some_and(|mark| mark == "1"),
         };
         Ok((request, order, open))
     }
--- a/gateway/tests/clients.rs
+++ b/gateway/tests/clients.rs
@@ -104,6 +104,24 @@
     assert_eq!(server.requests(), 0);
 }
 
+#[test]
+fn a_repeat_past_its_aim_is_refused_and_reaches_no_server() {
+    let server = Stub::start(|_| ok("served"));
+    let (gateway, _agent) = Running::before(&[&server]);
+    let mut client = gateway.client();
+    assert_eq!(client.ask(&saldo("f", "4")).status(), 200, "a first try");
+    let late = saldo("s", "2");
+    let marked = late.replace("X-Unknown: 1", "X-Second-Try: 1");
+    let answer = client.ask(&marked);
+    assert!(
+        matches!(answer.status(), 429 | 503),
+        "{}: of 4 s 2 are left, and the aim is 1.5 s",
+        answer.status()
+    );
+    assert_eq!(server.requests(), 1);
+    assert_eq!(client.ask(&late).status(), 200, "it does not say that it is a repeat");
+}
+
 #[test]
 fn a_client_that_hangs_up_takes_its_attempt_along() {
     let server = Stub::start(|_| Reply::Silence);
--- a/src/api.rs
+++ b/src/api.rs
@@ -211,6 +211,8 @@
     pub units: f64,
     /// Gateways through which this customer's requests come.
     pub gateways: u32,
+    /// The client says that it has tried before; its earlier try had an id of its own.
+    pub repeat: bool,
 }
 
 /// The end of an attempt.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,7 @@
 //!     deadline: Time(3_000_000_000),
 //!     units: 1.0,
 //!     gateways: 1,
+//!     repeat: false,
 //! };
 //! gateway.handle(Time(5), Event::Request(request), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { server: ServerId(1), .. })));
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -74,6 +74,9 @@
 const LOST: (f64, f64) = (1.0, 2.0);
 /// Least time left for a try, in its class's mean latencies (ours).
 const LEFT_LEAST: f64 = 0.5;
+/// A client that waits for less than this part of what first tries of the class are given has the rest of the
+/// class's deadline left and no more (ours: what the way here takes off a wait is less than the difference).
+const WAIT_PART: f64 = 0.97;
 /// Further attempts that each first send earns (ours), and the most that can be saved up.
 const RETRY: (f64, f64) = (0.1, 10.0);
 /// Part of one that a repeat after a broken connection takes (ours: half of the first sends may need one).
@@ -300,7 +303,8 @@
     class: usize,
     customer: CustomerId,
     deadline: Time,
-    begun: Time,
+    /// An answer after this is worth nothing.
+    wanted: Time,
     units: f64,
     inside: bool,
     open: bool,
@@ -466,9 +470,10 @@
     requests: BTreeMap<RequestId, Request>,
     customers: BTreeMap<CustomerId, Customer>,
     shedder: Shedder,
-    /// Mean units and mean latency of each class.
+    /// Mean units, mean latency and the longest wait of a first try of each class.
     units: Vec<f64>,
     latency: Vec<f64>,
+    waits: Vec<f64>,
     /// Latency of each kind of machine against its classes' means, and how many answers told it.
     kinds: BTreeMap<u32, (f64, f64)>,
     /// Connections that failed, by zone.
@@ -491,6 +496,7 @@
             shedder: Shedder::new(&cfg),
             units: vec![1.0; cfg.classes.len()],
             latency: cfg.classes.iter().map(|c| c.aim.as_secs_f64() / 5.0).collect(),
+            waits: vec![0.0; cfg.classes.len()],
             random: Random(seed),
             now: Time(0),
             started: None,
@@ -570,7 +576,8 @@
             return;
         }
         // What cannot be answered in its time left would only waste work, quota and repeats.
-        if new.deadline.since(now) < LEFT_LEAST * self.latency[new.class.0] {
+        let wanted = now.after_secs(class.aim.as_secs_f64() - self.waited(&new)).min(new.deadline);
+        if wanted.since(now) < LEFT_LEAST * self.latency[new.class.0] {
             return self.refuse(id, class.aim.as_secs_f64(), actions);
         }
         let units = if new.units.is_finite() && new.units > 0.0 { new.units } else { 1.0 };
@@ -598,7 +605,7 @@
             class: new.class.0,
             customer: new.customer,
             deadline: new.deadline,
-            begun: now,
+            wanted,
             units,
             inside,
             open: true,
@@ -625,6 +632,19 @@
         self.send(id, server, actions);
     }
 
+    /// Seconds that the client has waited already, as far as it can be known: the class's deadline spans all
+    /// its tries, so a repeat that is given less than a first try of its class is given what is left of it.
+    fn waited(&mut self, new: &NewRequest) -> f64 {
+        let (wait, most) = (new.deadline.since(self.now), &mut self.waits[new.class.0]);
+        if !new.repeat {
+            *most = most.max(wait);
+        }
+        if !new.repeat || wait >= WAIT_PART * *most {
+            return 0.0;
+        }
+        (self.cfg.classes[new.class.0].deadline.as_secs_f64() - wait).max(0.0)
+    }
+
     /// An overload's refusals advise to wait for the class's aim, a quota's for its units (ours).
     fn refuse(&self, id: RequestId, wait: f64, actions: &mut Vec<Action>) {
         let wait = sane(wait).min(self.cfg.max_retry_after.as_secs_f64()).max(0.001);
@@ -873,8 +893,8 @@
     fn worth_again(&self, id: RequestId) -> bool {
         self.requests.get(&id).is_some_and(|r| {
             let (latency, soon) = (self.latency[r.class], self.now.after(self.cfg.tick));
-            let in_time = self.now.since(r.begun) + latency < self.aim(r.class)
-                && soon.after_secs(LEFT_LEAST * latency) < r.deadline;
+            let in_time =
+                self.now.after_secs(latency) < r.wanted && soon.after_secs(LEFT_LEAST * latency) < r.deadline;
             let more =
                 r.attempts.len() < self.cfg.max_attempts as usize && self.retries >= Self::repeat_price(r);
             in_time && more && r.open && !r.streaming
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -44,6 +44,7 @@
         deadline: Time(3_000_000_000),
         units: 1.0,
         gateways: 1,
+        repeat: false,
     };
     let mut actions = Vec::new();
     gateway.handle(Time(now), Event::Request(request), &mut actions);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -127,6 +127,7 @@
             deadline: Time(self.now + 3_000_000_000),
             units,
             gateways: self.spread,
+            repeat: false,
         }));
         (id, actions)
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -399,6 +399,7 @@
             deadline: Time(door.now + left * 1_000_000),
             units: 1.0,
             gateways: 2,
+            repeat: false,
         }))
     };
     // Answers take 300 ms: 100 ms are too little, 250 ms may do.
@@ -407,6 +408,42 @@
     assert!(sent(&short(&mut door, 250)).is_some(), "the quota was not spent on them");
 }
 
+/// Half of all tries were clients' repeats, most of them past their aim: served, they earned nothing, and took the
+/// quota from first tries.
+#[test]
+fn a_repeat_whose_aim_has_passed_takes_no_quota() {
+    let plan = Plan { rate: 0.001, burst: 40.0, price: 1.0, over_cost: 1.0, ..Plan::default() };
+    let mut door = Door::new(settings(safe(), vec![plan]), 4);
+    let ask = |door: &mut Door, wait: u64, repeat: bool| {
+        let id = RequestId(1_000_000 + door.next);
+        door.next += 1;
+        let actions = door.event(Event::Request(NewRequest {
+            id,
+            class: ClassId(0),
+            plan: PlanId(0),
+            customer: CustomerId(7),
+            deadline: Time(door.now + wait * 1_000_000),
+            units: 1.0,
+            gateways: 2,
+            repeat,
+        }));
+        let let_in = sent(&actions).is_some();
+        if let_in {
+            door.settle(id, 0, Status::Ok, 10);
+        }
+        let_in
+    };
+    assert!(ask(&mut door, 2500, true), "no first try has told yet how long they wait");
+    // Of the deadline's three seconds a first try is given 2.4 s; the aim is 0.8 s.
+    assert!(ask(&mut door, 2400, false));
+    assert!(ask(&mut door, 2395, true), "it may have begun just now");
+    assert!(ask(&mut door, 2300, true), "begun 0.7 s ago, which leaves time for an answer");
+    let late = (0..30).filter(|n| ask(&mut door, 500 + 50 * n, true)).count();
+    assert_eq!(late, 0, "begun more than 0.8 s ago");
+    assert!(ask(&mut door, 1000, false), "a first try may be given less");
+    assert!((0..10).all(|_| ask(&mut door, 2400, false)), "the quota was not spent");
+}
+
 /// A reading of the meter was dropped after some seconds, and a heavy customer seen seldom was new each time.
 #[test]
 fn a_heavy_customer_is_remembered_between_rare_tries() {
