Advise clients to come back while an answer is still worth something

A refusal for the quota told the time that a whole unit takes, whatever the store held already, and one for load told the class's aim: both beyond the aim, so who obeyed came back for an answer worth nothing. It now tells when the units (or an attempt's end) are due, and never more than a quarter of the aim.

a_refusal_says_when_it_is_worth_coming_back fails without the change.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -77,6 +77,8 @@
 /// A client that waits for less than this part of what first tries of the class are given has the rest of the
 /// class's deadline left and no more (ours: what the way here takes off a wait is less than the difference).
 const WAIT_PART: f64 = 0.97;
+/// Most that a refusal advises to wait, in aims (ours: clients come back up to three times, all within the aim).
+const ADVICE: f64 = 0.25;
 /// Further attempts that each first send earns (ours), and the most that can be saved up.
 const RETRY: (f64, f64) = (0.1, 10.0);
 /// Part of one that a repeat after a broken connection takes (ours: half of the first sends may need one).
@@ -168,6 +170,18 @@
         }
     }
 
+    /// Seconds until what a refused try lacked is there: units, or the end of an attempt.
+    fn wait(&self, units: f64, capped: bool, latency: f64) -> f64 {
+        let until = |lacks: f64, rate: f64| lacks / rate.max(1e-3);
+        if capped {
+            until(units - self.ceiling, self.plan.ceiling_rate / self.gateways)
+        } else if self.plan.rate > 0.0 && self.store < units {
+            until(units - self.store, self.plan.rate * self.slice)
+        } else {
+            latency
+        }
+    }
+
     /// Whether a try of so many units, each out for `held` seconds, is inside the quota.
     fn inside(&self, now: Time, units: f64, meter_period: f64, held: f64, chance: f64) -> bool {
         let rate_ok = self.plan.rate <= 0.0 || self.store >= units || {
@@ -593,13 +607,13 @@
         // The ceiling is kept alone: an own part of it, empty at the start of each life.
         let capped = plan.ceiling_rate > 0.0 && customer.ceiling < units;
         if capped || !(inside || plan.over_worth > plan.over_cost) {
-            let wait = units / (plan.rate / customer.gateways).max(0.1);
-            return self.refuse(id, wait, actions);
+            let wait = customer.wait(units, capped, self.latency[new.class.0]);
+            return self.refuse(id, wait.min(self.soon(new.class.0)), actions);
         }
         let priority = (new.plan.0 * self.cfg.classes.len() + new.class.0) * 2 + usize::from(!inside);
         let cost = self.cost(new.class.0);
         if !self.shedder.pass(priority, cost) || (!inside && self.shedder.f < 1.0) {
-            return self.refuse(id, class.aim.as_secs_f64(), actions);
+            return self.refuse(id, self.soon(new.class.0), actions);
         }
         let request = Request {
             class: new.class.0,
@@ -614,7 +628,7 @@
         let Some(server) = self.pick(&request).filter(|_| new.deadline > now) else {
             // No room under the bounds counts like a server's refusal (design): f falls, and worth decides.
             self.shedder.sample(1.0, cost, class.deadline.as_secs_f64() / self.aim(new.class.0));
-            return self.refuse(id, class.aim.as_secs_f64(), actions);
+            return self.refuse(id, self.soon(new.class.0), actions);
         };
         if let Some(c) = self.customers.get_mut(&new.customer) {
             c.ceiling -= units;
@@ -645,7 +659,13 @@
         (self.cfg.classes[new.class.0].deadline.as_secs_f64() - wait).max(0.0)
     }
 
-    /// An overload's refusals advise to wait for the class's aim, a quota's for its units (ours).
+    /// Advice that lets a client come back while its answer is still worth something: after the class's aim
+    /// it would only ask in vain.
+    fn soon(&self, class: usize) -> f64 {
+        ADVICE * self.aim(class)
+    }
+
+    /// A quota's refusals advise to wait for what lacks, but no longer than an overload's (ours).
     fn refuse(&self, id: RequestId, wait: f64, actions: &mut Vec<Action>) {
         let wait = sane(wait).min(self.cfg.max_retry_after.as_secs_f64()).max(0.001);
         actions.push(Action::Refuse { id, retry_after: Duration::from_secs_f64(wait) });
@@ -909,7 +929,7 @@
             Effect::Keyed { .. } | Effect::Unsafe => r.ran().is_none(),
         };
         if harmless {
-            self.refuse(id, self.aim(r.class), actions);
+            self.refuse(id, self.soon(r.class), actions);
         } else {
             actions.push(Action::Fail { id });
         }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -444,6 +444,32 @@
     assert!((0..10).all(|_| ask(&mut door, 2400, false)), "the quota was not spent");
 }
 
+/// Clients were told to come back after the aim, for answers worth nothing, also where the units were almost there.
+#[test]
+fn a_refusal_says_when_it_is_worth_coming_back() {
+    let advice = |actions: &[Action]| {
+        actions.iter().find_map(|a| match a {
+            Action::Refuse { retry_after, .. } => Some(retry_after.as_millis()),
+            _ => None,
+        })
+    };
+    // Half of the quota's two units are this gateway's, and half a unit a second.
+    let plan = Plan { rate: 1.0, burst: 2.0, price: 1.0, over_cost: 1.0, ..Plan::default() };
+    let mut door = Door::new(settings(safe(), vec![plan, roomy()]), 4);
+    assert!(door.serve(0, 0, 7, 10).is_some());
+    assert_eq!(
+        advice(&door.request(0, 0, 7).1),
+        Some(200),
+        "a quarter of the aim, though it takes two seconds"
+    );
+    door.pass(1890);
+    let soon = advice(&door.request(0, 0, 7).1).expect("a refusal");
+    assert!((90..=110).contains(&soon), "{soon} ms, when the unit is there");
+    // Nothing answers, until no server has room.
+    let full = (0..100).find_map(|_| advice(&door.request(0, 1, 1).1));
+    assert_eq!(full, Some(200), "an overload's refusal too");
+}
+
 /// A reading of the meter was dropped after some seconds, and a heavy customer seen seldom was new each time.
 #[test]
 fn a_heavy_customer_is_remembered_between_rare_tries() {
