--- a/src/rules.rs
+++ b/src/rules.rs
@@ -77,7 +77,7 @@
 /// A client that waits for less than this part of what first tries of the class are given has the rest of the
 /// class's deadline left and no more (ours: what the way here takes off a wait is less than the difference).
 const WAIT_PART: f64 = 0.97;
-/// Most that a refusal advises to wait, in aims (ours: clients come back up to three times, all within the aim).
+/// Most that a refusal advises to wait, in aims (ours: clients come back up to three times, within the aim).
 const ADVICE: f64 = 0.25;
 /// Further attempts that each first send earns (ours), and the most that can be saved up.
 const RETRY: (f64, f64) = (0.1, 10.0);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -455,7 +455,8 @@
     };
     // Half of the quota's two units are this gateway's, and half a unit a second.
     let plan = Plan { rate: 1.0, burst: 2.0, price: 1.0, over_cost: 1.0, ..Plan::default() };
-    let mut door = Door::new(settings(safe(), vec![plan, roomy()]), 4);
+    let unmetered = Settings { meter_period: ms(0), ..settings(safe(), vec![plan, roomy()]) };
+    let mut door = Door::new(unmetered, 4);
     assert!(door.serve(0, 0, 7, 10).is_some());
     assert_eq!(
         advice(&door.request(0, 0, 7).1),
