Hold a client's early hang-up against no server

When a client leaves, its attempt is called off, and the outcome counted as the server's failure and as a latency of the whole aim: the server was shunned for seconds, at twenty times its cost. A silent server is still found out, as its attempt ends as timed out before the client's patience does.

a_client_that_hangs_up_is_not_held_against_the_server fails without the change.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -325,6 +325,8 @@
     units: f64,
     inside: bool,
     open: bool,
+    /// Its client hung up.
+    departed: bool,
     streaming: bool,
     attempts: Vec<Attempt>,
 }
@@ -546,7 +548,10 @@
                 self.requests.entry(id).and_modify(|r| r.streaming = true);
             }
             Event::Outcome(outcome) => self.outcome(outcome, actions),
-            Event::Departed(id) => self.finish(id, None, actions),
+            Event::Departed(id) => {
+                self.requests.entry(id).and_modify(|r| r.departed = true);
+                self.finish(id, None, actions);
+            }
             Event::Timer(Token(TOKEN_STEP)) => self.step(actions),
             Event::Timer(Token(token)) => {
                 let Ok(id) = u32::try_from(token >> 2).map(RequestId) else { return };
@@ -806,6 +811,8 @@
         let (server, sent) = (attempt.server, attempt.sent);
         let (class, customer, was_open) = (r.class, r.customer, r.open);
         let (inside, guess) = (r.inside, r.units);
+        // Who hangs up early says nothing of the server: one that is silent ends as timed out before.
+        let blameless = o.status == Status::Moot || (o.status == Status::Cancelled && r.departed);
         let first = r.attempts.iter().filter(|a| a.end == Some(Status::Ok)).count() == 1;
         let (elapsed, deadline) = (o.elapsed.as_secs_f64(), self.cfg.classes[class].deadline.as_secs_f64());
         let (aim, cost) = (self.aim(class), self.cost(class));
@@ -831,7 +838,9 @@
             // What gets no answer is slow as well: a jammed server would else look like any of its kind.
             let slow = match o.status {
                 Status::Ok => elapsed / typical,
-                Status::Full | Status::TimedOut | Status::Cancelled => elapsed.max(aim) / typical,
+                Status::Full | Status::TimedOut | Status::Cancelled if !blameless => {
+                    elapsed.max(aim) / typical
+                }
                 _ => 0.0,
             };
             if slow > 0.0 {
@@ -842,7 +851,7 @@
                 s.slow = mix(s.slowness(now, *kind), slow, SLOW_WEIGHT);
                 s.slow_at = now;
             }
-            if !matches!(o.status, Status::Full | Status::Moot) {
+            if o.status != Status::Full && !blameless {
                 if s.sick.entry(class).or_default().felt(o.status != Status::Ok, now) {
                     actions.push(Action::Log(format!("server {} fails class {class}", server.0)));
                 }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -498,6 +498,35 @@
     assert_eq!(let_in[1], 0, "{let_in:?}: the others use it all the time");
 }
 
+/// A client that hung up took its attempt along, which counted as its server's failure: the server was shunned for
+/// seconds.
+#[test]
+fn a_client_that_hangs_up_is_not_held_against_the_server() {
+    // Two at a time go to both servers, unless one is shunned.
+    let both_used = |door: &mut Door| {
+        let asked: Vec<_> = (0..2).map(|_| door.request(0, 0, 1)).collect();
+        door.pass(160);
+        for (id, _) in &asked {
+            door.settle(*id, 0, Status::Ok, 160);
+        }
+        sent(&asked[0].1) != sent(&asked[1].1)
+    };
+    for hangs_up in [true, false] {
+        let mut door = Door::new(settings(safe(), vec![roomy()]), 2);
+        assert!((0..10).all(|_| both_used(&mut door)));
+        let (id, _) = door.request(0, 0, 1);
+        door.pass(5);
+        if hangs_up {
+            door.event(Event::Departed(id));
+        }
+        door.settle(id, 0, Status::Cancelled, 5);
+        door.pass(160);
+        door.settle(id, 1, Status::Ok, 160);
+        let used = (0..5).filter(|_| both_used(&mut door)).count();
+        assert_eq!(used, if hangs_up { 5 } else { 0 }, "hangs up: {hangs_up}");
+    }
+}
+
 /// A reading of the meter was dropped after some seconds, and a heavy customer seen seldom was new each time.
 #[test]
 fn a_heavy_customer_is_remembered_between_rare_tries() {
