Leave a customer's last units to the class of more worth

The ceiling of a full least slice is kept as the most that is asked, so that small quotas let it in too.

the_last_units_are_left_to_the_class_of_more_worth fails without the change.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -607,15 +607,20 @@
         let meter = self.cfg.meter_period.as_secs_f64();
         let life = now.since(self.started.unwrap_or(now));
         let fresh = || Customer::new(plan.clone(), new.gateways, now, life, meter);
+        let most_worth = self.most_worth();
         let customer = self.customers.entry(new.customer).or_insert_with(fresh);
         customer.refill(now, meter, self.cfg.max_units);
         let held = self.latency[new.class.0] / self.units[new.class.0].max(1e-6);
-        let inside = customer.inside(now, units, meter, held, self.random.next());
+        // Departure: a customer's last units are left to the dearer class, as worth decides under load too.
+        // Hurts the cheaper class; the least slice's store, when full, lets it in all the same.
+        let dearer = units * most_worth / sane(class.worth).max(1e-9);
+        let needs = dearer.min(plan.burst / customer.gateways).max(units);
+        let inside = customer.inside(now, needs, meter, held, self.random.next());
         customer.asked.add(now, units);
         // The ceiling is kept alone: an own part of it, empty at the start of each life.
         let capped = plan.ceiling_rate > 0.0 && customer.ceiling < units;
         if capped || !(inside || plan.over_worth > plan.over_cost) {
-            let wait = customer.wait(units, capped, self.latency[new.class.0]);
+            let wait = customer.wait(if capped { units } else { needs }, capped, self.latency[new.class.0]);
             return self.refuse(id, wait.min(self.soon(new.class.0)), actions);
         }
         let priority = (new.plan.0 * self.cfg.classes.len() + new.class.0) * 2 + usize::from(!inside);
@@ -684,6 +689,10 @@
         (self.units[class] / self.units[0].max(1e-6)).clamp(0.01, 100.0)
     }
 
+    fn most_worth(&self) -> f64 {
+        self.cfg.classes.iter().map(|c| sane(c.worth)).fold(1e-9, f64::max)
+    }
+
     fn aim(&self, class: usize) -> f64 {
         self.cfg.classes[class].aim.as_secs_f64().max(0.001)
     }
@@ -712,9 +721,8 @@
     /// their sum is bounded by all answers together, not by the larger of two bounds at each server.
     fn room(&mut self, request: &Request, mean_size: f64) -> Option<(f64, f64)> {
         let classes = &self.cfg.classes;
-        let most_worth = classes.iter().map(|c| sane(c.worth)).fold(1e-9, f64::max);
         let aim = classes.iter().map(|c| c.aim.as_secs_f64()).sum::<f64>() / classes.len() as f64;
-        let aim = aim * (1.0 + sane(classes[request.class].worth) / most_worth);
+        let aim = aim * (1.0 + sane(classes[request.class].worth) / self.most_worth());
         let least = OUT_LEAST / f64::from(self.cfg.gateways);
         let (mut out, mut rate, mut size) = (0.0, 0.0, 0.0);
         for s in self.usable() {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -527,6 +527,22 @@
     }
 }
 
+/// A customer's last units went to whoever came first, and the class of more worth was refused behind the other.
+#[test]
+fn the_last_units_are_left_to_the_class_of_more_worth() {
+    let classes = || vec![class(Effect::Safe, 3.0), class(Effect::Unsafe, 2.0)];
+    let plan = |burst: f64| Plan { rate: 0.001, burst, price: 1.0, over_cost: 1.0, ..Plan::default() };
+    let plans = vec![plan(4.0), plan(2.0)];
+    let unmetered = Settings { meter_period: ms(0), ..settings(classes(), plans) };
+    let mut door = Door::new(unmetered, 4);
+    // Half of the store is this gateway's: two units.
+    assert!(door.serve(1, 0, 7, 10).is_some(), "there is enough for both");
+    assert!(door.serve(1, 0, 7, 10).is_none(), "the last one");
+    assert!(door.serve(0, 0, 7, 10).is_some(), "is the dearer class's");
+    assert!(door.serve(0, 0, 7, 10).is_none(), "and the quota is spent");
+    assert!(door.serve(1, 1, 8, 10).is_some(), "a store of one unit, when full, lets in either");
+}
+
 /// A reading of the meter was dropped after some seconds, and a heavy customer seen seldom was new each time.
 #[test]
 fn a_heavy_customer_is_remembered_between_rare_tries() {
