--- a/src/rules.rs
+++ b/src/rules.rs
@@ -2,7 +2,7 @@
 //!
 //! Ordinary path, in the order a request meets it: quota check by the metered slice (`Customer`), throttle
 //! (`Shedder`: two-ratio loop for `f`, formula (4), accumulators), choice of server (`pick`), outcome.
-//! "Kasera" is "Robust Multiclass Signaling Overload Control"; docs/design.md lists every departure.
+//! "Kasera" is "Robust Multiclass Signaling Overload Control"; departures from it are marked as such.
 
 use crate::api::*;
 use crate::numbers::{mix, sane, sane_plan, Random, Rate};
