Build the console: pay servers left out, drain and undrain by the operators

Ruled out: a fault of the drain's times; there was no console to call. The new tests fail without the parts (a server put back taken for warm: tried). SIGTERM shares the drain: idle connections get half a second to be used once more, and none is closed on bytes unread.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -1,5 +1,6 @@
 //! What a gateway is told at its start: the file that `RELAY_CONFIG` names, and the variables beside it.
 
+use crate::console::CALLERS;
 use crate::discovery::HostList;
 use cherrypulley_drill::Site;
 use serde::Deserialize;
@@ -11,6 +12,8 @@
 pub struct Config {
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call, if they do.
+    pub console: Option<SocketAddr>,
     #[serde(deserialize_with = "hex")]
     pub seed: u64,
     pub limits: Limits,
@@ -30,13 +33,10 @@
     /// names what is missing or wrong.
     pub fn load() -> Result<Config, String> {
         let mut config = Config::from_file()?;
-        for (name, field) in
-            [("RELAY_LISTEN", &mut config.listen), ("RELAY_DISCOVERY", &mut config.discovery)]
-        {
-            if let Ok(value) = env::var(name) {
-                *field = value.parse().map_err(|e| format!("{name}: {value:?}: {e}"))?;
-            }
-        }
+        let Config { listen, discovery, console, .. } = &mut config;
+        *listen = variable("RELAY_LISTEN")?.unwrap_or(*listen);
+        *discovery = variable("RELAY_DISCOVERY")?.unwrap_or(*discovery);
+        *console = variable("RELAY_CONSOLE")?.or(*console);
         Ok(config)
     }
 
@@ -59,15 +59,23 @@
     }
 }
 
+/// The address that a variable names, if it is set.
+fn variable(name: &str) -> Result<Option<SocketAddr>, String> {
+    let Ok(value) = env::var(name) else { return Ok(None) };
+    value.parse().map(Some).map_err(|e| format!("{name}: {value:?}: {e}"))
+}
+
 /// Descriptors for the process itself: standard streams, epoll, signals, the listener, discovery, and some
 /// that are closed already but not yet given back.
 const RESERVED: usize = 32;
 
-impl Limits {
+impl Config {
     /// Connections from clients and to servers. A request holds one of each, and a second copy one more to a
     /// server; but clients keep far more connections than are in use, as each of them opens its own.
     pub fn budget(&self) -> (usize, usize) {
-        let free = self.sockets - RESERVED;
+        // Those of the operators' callers are kept free for them, whatever the clients do.
+        let console = self.console.map_or(0, |_| CALLERS);
+        let free = self.limits.sockets - RESERVED - console;
         let clients = free * 3 / 5;
         (clients, free - clients)
     }
--- /dev/null
+++ b/gateway/src/console.rs
@@ -0,0 +1,221 @@
+//! The operators' address: HTTP/1.1, one call a connection, answered with yes (2xx) or no (4xx, 5xx).
+
+use crate::framing::{Framing, Heads};
+use crate::front::last_word;
+use crate::log::log;
+use crate::operations::{Call, Change, Operations, Refusal};
+use crate::socket::{Io, Socket, Watch};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Bytes, Incoming};
+use hyper::header::{HeaderValue, ALLOW};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::{sleep, timeout};
+
+/// Callers at once. With more, whoever has gone longest without a whole call goes: what is whole is answered at
+/// once, so only the silent and the slow are ever that old.
+pub const CALLERS: usize = 16;
+/// A call has this long to come, and its answer to go out.
+const CALL_MOST: Duration = Duration::from_millis(2500);
+/// A head holds at most this much. Nothing that is asked here needs more ...
+const MAX_HEAD: usize = 8 << 10;
+/// ... or a body; a short one is read and passed over.
+const MAX_BODY: usize = 4 << 10;
+/// Pause after an accept that failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Follows what a caller sends, for what hyper does not tell.
+#[derive(Default)]
+struct Caller {
+    heads: RefCell<Heads>,
+    begun: Cell<bool>,
+}
+
+impl Watch for Rc<Caller> {
+    fn received(&self, bytes: &[u8]) {
+        self.begun.set(true);
+        self.heads.borrow_mut().read(bytes);
+    }
+}
+
+pub struct Console {
+    operations: Rc<Operations>,
+    accepted: Cell<u64>,
+    callers: RefCell<BTreeMap<u64, AbortHandle>>,
+}
+
+impl Console {
+    pub fn new(operations: Rc<Operations>) -> Rc<Console> {
+        Rc::new(Console { operations, accepted: Cell::new(0), callers: RefCell::default() })
+    }
+
+    /// Takes calls, for good.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        let mut logged = false;
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => self.begin(stream),
+                Err(e) => {
+                    if !std::mem::replace(&mut logged, true) {
+                        log(format_args!("console: accept: {e}"));
+                    }
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn begin(self: &Rc<Self>, stream: TcpStream) {
+        let number = self.accepted.replace(self.accepted.get() + 1);
+        let console = self.clone();
+        let task = spawn_local(async move {
+            console.hear(stream).await;
+            console.callers.borrow_mut().remove(&number);
+        });
+        let mut callers = self.callers.borrow_mut();
+        callers.insert(number, task.abort_handle());
+        if callers.len() > CALLERS {
+            if let Some((_, oldest)) = callers.pop_first() {
+                oldest.abort();
+            }
+        }
+    }
+
+    async fn hear(self: &Rc<Self>, stream: TcpStream) {
+        let caller = Rc::new(Caller::default());
+        let Ok(socket) = Socket::new(stream, caller.clone()) else { return };
+        let service = service_fn(|request| {
+            let (console, framing) = (self.clone(), caller.heads.borrow_mut().next());
+            async move { Ok::<_, Infallible>(console.answer(request, framing).await) }
+        });
+        let connection = http1::Builder::new()
+            .keep_alive(false)
+            .half_close(true)
+            .max_buf_size(MAX_HEAD)
+            .serve_connection(Io(socket.clone()), service);
+        // How it ended is the caller's affair; what hyper could not read it has answered.
+        let late = timeout(CALL_MOST, connection).await.is_err();
+        let word = (late && caller.begun.get())
+            .then(|| last_word(StatusCode::REQUEST_TIMEOUT, "the call did not come in time"));
+        socket.end(&word.unwrap_or_default());
+        if !socket.quiet() {
+            socket.linger().await;
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>, framing: Option<Framing>) -> Response<Full<Bytes>> {
+        let (head, body) = request.into_parts();
+        let call = match understood(&head.method, head.uri.path(), head.uri.query()) {
+            Ok(_) if framing.is_none_or(|framing| framing == Framing::Ambiguous) => {
+                Err(No::Malformed("more than one length, or one beside a transfer-encoding"))
+            }
+            // A call whose body is not whole is half a call.
+            Ok(call) => match Limited::new(body, MAX_BODY).collect().await {
+                Ok(_) => Ok(call),
+                Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(No::TooLarge),
+                Err(_) => Err(No::Malformed("a body that is cut off")),
+            },
+            Err(no) => Err(no),
+        };
+        match call.and_then(|call| self.operations.carry_out(&call).map_err(No::Refused)) {
+            Ok(()) => said(StatusCode::OK, "yes", None),
+            Err(No::UnknownPath) => said(StatusCode::NOT_FOUND, "no such call", None),
+            Err(No::Method(allowed)) => said(
+                StatusCode::METHOD_NOT_ALLOWED,
+                &format!("this call takes {allowed}"),
+                HeaderValue::from_str(allowed.as_str()).ok(),
+            ),
+            Err(No::Malformed(why)) => said(StatusCode::BAD_REQUEST, why, None),
+            Err(No::TooLarge) => said(StatusCode::PAYLOAD_TOO_LARGE, "no call has such a body", None),
+            Err(No::Refused(Refusal::NotReady)) => {
+                said(StatusCode::SERVICE_UNAVAILABLE, "takes no clients", None)
+            }
+            Err(No::Refused(Refusal::Unknown(name))) => {
+                said(StatusCode::NOT_FOUND, &format!("no pay server {name:?} is known"), None)
+            }
+        }
+    }
+}
+
+/// Why a call is answered with no.
+#[derive(Debug, PartialEq, Eq)]
+enum No {
+    UnknownPath,
+    Method(Method),
+    Malformed(&'static str),
+    TooLarge,
+    Refused(Refusal),
+}
+
+fn said(status: StatusCode, line: &str, allow: Option<HeaderValue>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(format!("{line}\n"))));
+    *response.status_mut() = status;
+    if let Some(allow) = allow {
+        response.headers_mut().insert(ALLOW, allow);
+    }
+    response
+}
+
+/// Reads a call.
+fn understood(method: &Method, path: &str, query: Option<&str>) -> Result<Call, No> {
+    let takes = |allowed: Method| if *method == allowed { Ok(()) } else { Err(No::Method(allowed)) };
+    if path == "/ready" {
+        return takes(Method::GET).map(|()| Call::Ready);
+    }
+    let change: fn(String) -> Change = match path {
+        "/pay-servers/disable" => Change::Disable,
+        "/pay-servers/enable" => Change::Enable,
+        "/drain" => return takes(Method::PUT).map(|()| Call::Change(Change::Drain)),
+        "/undrain" => return takes(Method::PUT).map(|()| Call::Change(Change::Undrain)),
+        _ => return Err(No::UnknownPath),
+    };
+    takes(Method::PUT)?;
+    let mut names = form_urlencoded::parse(query.unwrap_or_default().as_bytes())
+        .filter(|(key, value)| key == "name" && !value.is_empty());
+    match (names.next(), names.next()) {
+        (Some((_, name)), None) => Ok(Call::Change(change(name.into_owned()))),
+        (None, _) => Err(No::Malformed("name=ID is missing")),
+        (Some(_), Some(_)) => Err(No::Malformed("name comes more than once")),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn calls_are_told_from_what_is_none() {
+        let disable = |name: &str| Ok(Call::Change(Change::Disable(name.to_owned())));
+        for (method, uri, call) in [
+            (Method::GET, "/ready", Ok(Call::Ready)),
+            (Method::PUT, "/drain", Ok(Call::Change(Change::Drain))),
+            (Method::PUT, "/undrain", Ok(Call::Change(Change::Undrain))),
+            (Method::PUT, "/pay-servers/disable?name=s-1", disable("s-1")),
+            (Method::PUT, "/pay-servers/disable?why=x&name=s%2d1", disable("s-1")),
+            (Method::PUT, "/pay-servers/enable?name=s", Ok(Call::Change(Change::Enable("s".to_owned())))),
+            (Method::PUT, "/ready", Err(No::Method(Method::GET))),
+            (Method::POST, "/drain", Err(No::Method(Method::PUT))),
+            (Method::GET, "/pay-servers/enable?name=s", Err(No::Method(Method::PUT))),
+            (Method::PUT, "/pay-servers/disable", Err(No::Malformed("name=ID is missing"))),
+            (Method::PUT, "/pay-servers/disable?name=", Err(No::Malformed("name=ID is missing"))),
+            (
+                Method::PUT,
+                "/pay-servers/disable?name=a&name=b",
+                Err(No::Malformed("name comes more than once")),
+            ),
+            (Method::PUT, "/pay-servers/", Err(No::UnknownPath)),
+            (Method::GET, "/", Err(No::UnknownPath)),
+        ] {
+            let (path, query) = uri.split_once('?').map_or((uri, None), |(path, query)| (path, Some(query)));
+            assert_eq!(understood(&method, path, query), call, "{method} {uri}");
+        }
+    }
+}
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -7,6 +7,7 @@
 use hyper::{Request, StatusCode};
 use serde::Deserialize;
 use serde_json::Value;
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -101,10 +102,12 @@
 /// Numbers for ids of servers, by a hash, so that a server has the same number after a restart of the gateway;
 /// one whose number is taken gets the next free one.
 #[derive(Default)]
-struct Ids(HashMap<u32, Numbered>);
+pub struct Ids(HashMap<u32, Numbered>);
 
 struct Numbered {
     id: String,
+    /// The operators leave it out, and may ask for it back whatever becomes of it.
+    disabled: bool,
     /// Since when it is not listed any more.
     gone: Option<Instant>,
 }
@@ -123,11 +126,18 @@
         self.0.entry(number).or_insert_with(|| {
             // The decisions' own lines name servers by number.
             log(format_args!("server {id} is number {number}"));
-            Numbered { id: id.to_owned(), gone: None }
+            Numbered { id: id.to_owned(), disabled: false, gone: None }
         });
         ServerId(number)
     }
 
+    /// Marks a server as left out or not; its number, if the id is known.
+    pub fn disable(&mut self, id: &str, disabled: bool) -> Option<ServerId> {
+        let (&number, numbered) = self.0.iter_mut().find(|(_, numbered)| numbered.id == id)?;
+        numbered.disabled = disabled;
+        Some(ServerId(number))
+    }
+
     /// Follows a list, and forgets those that have long gone: in long service ids are ever new.
     fn listed(&mut self, scope: Scope, servers: &[ServerInfo], now: Instant) {
         if scope == Scope::Full {
@@ -138,7 +148,9 @@
                 numbered.gone = (server.lifecycle == Lifecycle::Gone).then_some(now);
             }
         }
-        self.0.retain(|_, numbered| numbered.gone.is_none_or(|gone| now - gone < NUMBER_KEPT));
+        self.0.retain(|_, numbered| {
+            numbered.disabled || numbered.gone.is_none_or(|gone| now - gone < NUMBER_KEPT)
+        });
     }
 }
 
@@ -149,7 +161,7 @@
     agents: watch::Receiver<SocketAddr>,
     zones: Names,
     kinds: Names,
-    ids: Ids,
+    ids: Rc<RefCell<Ids>>,
     version: Option<u64>,
     /// An entry that could not be read has been logged.
     spoilt: bool,
@@ -167,14 +179,21 @@
             agents,
             zones: Names(zones),
             kinds: Names(kinds),
-            ids: Ids::default(),
+            ids: Rc::default(),
             version: None,
             spoilt: false,
         }
     }
 
+    /// The servers' ids and numbers, as they are told of.
+    pub fn ids(&self) -> Rc<RefCell<Ids>> {
+        self.ids.clone()
+    }
+
     /// Takes a list in.
     pub fn told(&mut self, list: HostList) {
+        let ids = self.ids.clone();
+        let mut ids = ids.borrow_mut();
         self.version = Some(list.version);
         let mut servers = Vec::with_capacity(list.servers.len());
         let mut addresses = Vec::with_capacity(list.servers.len());
@@ -186,7 +205,7 @@
                         log(format_args!("discovery: an entry cannot be read, ignored from now on"));
                     }
                     let Some(known) = id
-                        .map(|id| self.ids.number(&id))
+                        .map(|id| ids.number(&id))
                         .and_then(|id| self.engine.upstream.peer(id).map(|peer| (id, peer.addr)))
                     else {
                         continue;
@@ -201,7 +220,7 @@
                 }
             };
             let info = ServerInfo {
-                id: self.ids.number(&host.id),
+                id: ids.number(&host.id),
                 zone: self.zones.index(host.zone),
                 cell: host.cell,
                 kind: self.kinds.index(host.kind),
@@ -217,7 +236,8 @@
             servers.push(info);
         }
         let scope = if list.full { Scope::Full } else { Scope::Delta };
-        self.ids.listed(scope, &servers, Instant::now());
+        ids.listed(scope, &servers, Instant::now());
+        drop(ids);
         self.engine.upstream.listed(scope, &servers, &addresses);
         self.engine.post(Event::Servers { scope, servers });
     }
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -41,6 +41,14 @@
 const READ_MOST: Duration = Duration::from_secs(5);
 /// A connection that is to close waits this long for the head of a request to come to its end.
 const LAST_HEAD_MOST: Duration = Duration::from_millis(250);
+/// When the gateway drains or ends, connections that are in use get their next request answered, which closes them;
+/// one on which nothing has come for this long is not in use. Bounds how long a client holds on to a gateway that
+/// wants to be left alone; hurts clients that ask less often, as they connect anew.
+const DRAIN_IDLE: Duration = Duration::from_millis(500);
+/// A connection about to be closed on which bytes have come after all is looked at again after this time.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+/// After SIGTERM a first request that has begun is waited for as long as heads may take, from the last new connection.
+const LAST_FIRST_HEAD: Duration = Duration::from_millis(2500);
 /// Time in which a connection just accepted brings its first request.
 const SETTLE: Duration = Duration::from_millis(100);
 /// With more connections than there is room for and none that can be closed yet, they are looked through again
@@ -96,9 +104,10 @@
     words_left: Cell<bool>,
     /// A request was turned away, perhaps with a part of it unread.
     rejected: Cell<bool>,
-    /// It has been told to close.
+    /// From when on it is closed if it is idle, and after its next answer in any case.
     told: Cell<Option<Instant>>,
-    close: Notify,
+    /// `told` has changed.
+    news: Notify,
     heads: RefCell<Heads>,
     /// When the first bytes came of a head that has not ended.
     head_since: Cell<Option<Instant>>,
@@ -112,15 +121,21 @@
             words_left: Cell::new(false),
             rejected: Cell::new(false),
             told: Cell::new(None),
-            close: Notify::new(),
+            news: Notify::new(),
             heads: RefCell::default(),
             head_since: Cell::new(None),
         })
     }
 
-    fn tell_to_close(&self) {
-        self.told.set(Some(Instant::now()));
-        self.close.notify_one();
+    fn tell_to_close(&self, at: Instant) {
+        self.told.set(Some(self.told.get().map_or(at, |told| told.min(at))));
+        self.news.notify_one();
+    }
+
+    /// It may stay after all.
+    fn untell(&self) {
+        self.told.set(None);
+        self.news.notify_one();
     }
 
     fn idle_since(&self) -> Option<Instant> {
@@ -143,11 +158,10 @@
                 let told = self.told.get().map(|told| told + LAST_HEAD_MOST);
                 told.into_iter().chain([since + HEAD_MOST]).min()
             }
-            (Phase::Idle(since), None) => Some(if self.told.get().is_some() {
-                since
-            } else {
-                since + if self.asked.get() { IDLE_MOST } else { HEAD_MOST }
-            }),
+            (Phase::Idle(since), None) => {
+                let most = since + if self.asked.get() { IDLE_MOST } else { HEAD_MOST };
+                self.told.get().into_iter().chain([most]).min()
+            }
         }
     }
 }
@@ -206,13 +220,24 @@
     }
 }
 
+/// What the gateway does with clients that come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Service {
+    Open,
+    /// It answers, but keeps no connection and wants no more clients.
+    Draining,
+    /// The same, and the process ends.
+    Ending,
+}
+
 pub struct Front {
     engine: Rc<Engine>,
     site: Site,
     budget: usize,
     ready: Cell<bool>,
-    /// No connection is kept any longer: the process ends.
-    closing: Cell<bool>,
+    /// Connections are accepted.
+    accepting: Cell<bool>,
+    service: Cell<Service>,
     /// A connection waits for room: those that end their request make it.
     crowded: Cell<bool>,
     accepted: Cell<u64>,
@@ -229,7 +254,8 @@
             site,
             budget,
             ready: Cell::new(false),
-            closing: Cell::new(false),
+            accepting: Cell::new(false),
+            service: Cell::new(Service::Open),
             crowded: Cell::new(false),
             accepted: Cell::new(0),
             clients: RefCell::default(),
@@ -247,6 +273,7 @@
     /// listener's queue.
     pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         let mut logged = false;
+        self.accepting.set(true);
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => self.begin(stream),
@@ -322,7 +349,11 @@
                     answered.unwrap_or_else(|_| Ok(plain(StatusCode::INTERNAL_SERVER_ERROR, "panic")));
                 client.rejected.set(answer.is_err());
                 let mut response = answer.unwrap_or_else(|(status, why)| plain(status, &why));
-                if front.closing.get() || front.crowded.get() || framing != Framing::Plain {
+                if front.service.get() != Service::Open
+                    || front.crowded.get()
+                    || client.told.get().is_some()
+                    || framing != Framing::Plain
+                {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 client.phase.set(Phase::Answering(Instant::now()));
@@ -331,13 +362,14 @@
                 Ok::<_, Infallible>(response.map(|words| Words { words, client }))
             }
         });
+        let began = Instant::now();
         let mut connection = pin!(http1::Builder::new()
             .max_buf_size(MAX_HEAD)
             .max_headers(MAX_HEADERS)
             .serve_connection(Io(socket.clone()), service));
+        let mut look: Option<Instant> = None;
         loop {
-            let now = Instant::now();
-            let due = client.due().unwrap_or(now + HEAD_MOST);
+            let due = client.due().unwrap_or_else(|| Instant::now() + HEAD_MOST).max(look.unwrap_or(began));
             tokio::select! {
                 ended = connection.as_mut() => {
                     let unreadable = ended.err().filter(|e| e.is_parse() && client.idle_since().is_some())?;
@@ -347,13 +379,20 @@
                         (StatusCode::BAD_REQUEST, "a request that is unreadable")
                     });
                 }
-                () = client.close.notified() => connection.as_mut().graceful_shutdown(),
+                () = client.news.notified() => {}
                 () = sleep_until(due.into()) => {
                     // It may have moved on meanwhile: the time is not set anew with each request.
                     if client.due().is_some_and(|due| due <= Instant::now()) {
+                        let idle = client.idle_since().is_some() && client.head_since.get().is_none();
+                        if idle && look.is_none() && !socket.quiet() {
+                            // A request is here that was not yet read, and is served first; or an end.
+                            look = Some(Instant::now() + LOOK_AGAIN);
+                            continue;
+                        }
                         let head = client.idle_since().and(client.head_since.get());
                         return head.map(|_| (StatusCode::REQUEST_TIMEOUT, "the head did not come in time"));
                     }
+                    look = None;
                 }
             }
         }
@@ -369,7 +408,7 @@
             client.told.get().is_none() && (client.asked.get() || since.elapsed() >= SETTLE)
         });
         let longest = idle.min_by_key(|(since, client)| (client.asked.get(), *since));
-        longest.map(|(_, client)| client.tell_to_close()).is_some()
+        longest.map(|(since, client)| client.tell_to_close(since)).is_some()
     }
 
     /// With more connections idle behind an answer than may be, closes the one that has been for the longest time.
@@ -384,24 +423,56 @@
         let idle: Vec<_> = answered.filter_map(|client| Some((client.idle_since()?, client))).collect();
         if idle.len() > most {
             let longest = idle.into_iter().min_by_key(|(since, _)| *since);
-            longest.into_iter().for_each(|(_, client)| client.tell_to_close());
+            longest.into_iter().for_each(|(since, client)| client.tell_to_close(since));
         }
     }
 
-    /// Keeps no connection after its next answer, and closes those that are idle. One that has asked nothing
-    /// yet is only just open, and its first request on the way: it would be closed in the client's face.
+    /// Whether this process takes clients.
+    pub fn takes_clients(&self) -> bool {
+        self.ready.get() && self.accepting.get() && self.service.get() != Service::Ending
+    }
+
+    /// Keeps no connection after its next answer, and none that stays idle.
+    pub fn drain(&self) {
+        if self.service.get() == Service::Open {
+            self.service.set(Service::Draining);
+            self.tell_all();
+        }
+    }
+
+    /// Takes clients again, and lets those stay that are still here.
+    pub fn undrain(&self) {
+        if self.service.get() == Service::Draining {
+            self.service.set(Service::Open);
+            self.clients.borrow().values().for_each(|client| client.untell());
+        }
+    }
+
+    /// Drains for good: the process ends.
     pub fn close(&self) {
-        self.closing.set(true);
+        self.service.set(Service::Ending);
+        self.tell_all();
+    }
+
+    /// One that has asked nothing yet is only just open, and its first request on the way: it would be closed in the
+    /// client's face.
+    fn tell_all(&self) {
+        let at = Instant::now() + DRAIN_IDLE;
         for client in self.clients.borrow().values().filter(|client| client.asked.get()) {
-            client.tell_to_close();
+            client.tell_to_close(at);
         }
     }
 
-    /// Waits until every connection on which something was asked has ended, those accepted last too.
+    /// Waits until every connection on which something was asked has ended, those accepted last too, and those on
+    /// which a first request has begun; that only for as long as a head may take.
     pub async fn emptied(&self) {
         sleep(SETTLE).await;
-        while self.clients.borrow().values().any(|client| client.asked.get()) {
-            self.room.notified().await;
+        let until = Instant::now() + LAST_FIRST_HEAD;
+        let owed = |client: &Rc<Client>| {
+            client.asked.get() || (client.head_since.get().is_some() && Instant::now() < until)
+        };
+        while self.clients.borrow().values().any(owed) {
+            drop(timeout(SETTLE, self.room.notified()).await);
         }
     }
 
@@ -416,9 +487,12 @@
             return Err(bad("more than one length, or one beside a transfer-encoding"));
         }
         if request.uri().path() == "/up" {
-            return match (request.method(), self.ready.get()) {
-                (&Method::GET, true) => Ok(plain(StatusCode::OK, "ready")),
-                (&Method::GET, false) => Ok(plain(StatusCode::SERVICE_UNAVAILABLE, "no list of servers yet")),
+            let no = |why| Ok(plain(StatusCode::SERVICE_UNAVAILABLE, why));
+            return match (request.method(), self.service.get()) {
+                (&Method::GET, _) if !self.ready.get() => no("no list of servers yet"),
+                (&Method::GET, Service::Draining) => no("draining"),
+                (&Method::GET, Service::Ending) => no("ending"),
+                (&Method::GET, Service::Open) => Ok(plain(StatusCode::OK, "ready")),
                 _ => Err(bad("/up takes GET")),
             };
         }
@@ -615,7 +689,7 @@
 }
 
 /// An answer outside hyper, to what it could not read or that did not come.
-fn last_word(status: StatusCode, why: &str) -> Vec<u8> {
+pub fn last_word(status: StatusCode, why: &str) -> Vec<u8> {
     let length = why.len() + 1;
     format!(
         "HTTP/1.1 {status}\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: {length}\r\n\
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -3,11 +3,13 @@
 
 mod clock;
 mod config;
+mod console;
 mod discovery;
 mod engine;
 mod framing;
 mod front;
 mod log;
+mod operations;
 mod socket;
 mod upstream;
 
@@ -15,12 +17,15 @@
 use cherrypulley::Gateway;
 use clock::Clock;
 use config::Config;
+use console::Console;
 use discovery::Discovery;
 use engine::Engine;
 use front::Front;
+use operations::Operations;
 use std::io;
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, LocalOptions};
@@ -67,13 +72,18 @@
     }
 }
 
+async fn bind(what: &str, addr: SocketAddr) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(addr).await;
+    listener.map_err(|e| io::Error::new(e.kind(), format!("{what}: {addr}: {e}")))
+}
+
 /// Serves until SIGTERM, and then until all that was taken is answered.
 async fn run(config: Config) -> io::Result<()> {
     // Before anything is accepted: without a handler SIGHUP ends the process.
     let hangup = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let clock = Clock::start();
-    let (clients, servers) = config.limits.budget();
+    let (clients, servers) = config.budget();
     let site = config.settings;
     let upstream = Upstream::new(clock, site.connect_timeout, site.idle, servers);
     let gateway = Gateway::new(site.settings.clone(), config.seed);
@@ -87,15 +97,19 @@
         discovery.told(known);
         front.set_ready();
     }
+    if let Some(console) = config.console {
+        let listener = bind("console", console).await?;
+        log(format_args!("console on {}", listener.local_addr()?));
+        let operations = Operations { engine: engine.clone(), front: front.clone(), ids: discovery.ids() };
+        spawn_local(Console::new(Rc::new(operations)).serve(listener));
+    }
     let held = front.clone();
     spawn_local(async move { discovery.follow(|| held.set_ready()).await });
     let timers = engine.clone();
     spawn_local(async move { timers.run_timers().await });
     spawn_local(async move { engine.run_sweeps().await });
 
-    let listener = TcpListener::bind(config.listen)
-        .await
-        .map_err(|e| io::Error::new(e.kind(), format!("listen: {}: {e}", config.listen)))?;
+    let listener = bind("listen", config.listen).await?;
     log(format_args!("listening on {}", listener.local_addr()?));
     tokio::select! {
         () = front.accept(&listener) => {}
--- /dev/null
+++ b/gateway/src/operations.rs
@@ -0,0 +1,67 @@
+//! What operators can ask of a running gateway, and who is told of it.
+
+use crate::discovery::Ids;
+use crate::engine::Engine;
+use crate::front::Front;
+use crate::log::log;
+use cherrypulley::Event;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// What is asked. A change asked for twice is made once.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Does this process take clients?
+    Ready,
+    Change(Change),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Leave the pay server of this id out ...
+    Disable(String),
+    /// ... and put it back.
+    Enable(String),
+    Drain,
+    Undrain,
+}
+
+/// Why it was not done.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The process takes no clients, not yet or not any more.
+    NotReady,
+    /// No pay server of this id was ever told of.
+    Unknown(String),
+}
+
+pub struct Operations {
+    pub engine: Rc<Engine>,
+    pub front: Rc<Front>,
+    pub ids: Rc<RefCell<Ids>>,
+}
+
+impl Operations {
+    pub fn carry_out(&self, call: &Call) -> Result<(), Refusal> {
+        match call {
+            Call::Ready => self.front.takes_clients().then_some(()).ok_or(Refusal::NotReady),
+            Call::Change(change) => self.change(change),
+        }
+    }
+
+    /// Makes a change in this process.
+    fn change(&self, change: &Change) -> Result<(), Refusal> {
+        match change {
+            Change::Disable(name) | Change::Enable(name) => {
+                let disabled = matches!(change, Change::Disable(_));
+                let id = self.ids.borrow_mut().disable(name, disabled);
+                let id = id.ok_or_else(|| Refusal::Unknown(name.clone()))?;
+                self.engine.post(if disabled { Event::Disabled(id) } else { Event::Enabled(id) });
+            }
+            Change::Drain => self.front.drain(),
+            Change::Undrain => self.front.undrain(),
+        }
+        log(format_args!("operators: {change:?}"));
+        Ok(())
+    }
+}
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -296,6 +296,7 @@
             .env("RELAY_CONFIG", &file)
             .env_remove("RELAY_LISTEN")
             .env_remove("RELAY_DISCOVERY")
+            .env_remove("RELAY_CONSOLE")
             .envs(variables.iter().copied())
             .stderr(Stdio::piped())
             .spawn()
@@ -327,6 +328,29 @@
         Client::connect(self.addr)
     }
 
+    /// A gateway with a console before these servers.
+    pub fn with_console(servers: &[&Stub]) -> (Running, Agent) {
+        let agent = Agent::start();
+        let known = list(1, true, &serving(servers));
+        let config = config("127.0.0.1:0", agent.stub.addr, Some(&known));
+        (Running::start_with("exec \"$0\"", &config, &[("RELAY_CONSOLE", "127.0.0.1:0")]), agent)
+    }
+
+    pub fn console(&self) -> SocketAddr {
+        let log = self.log();
+        let named = log.lines().find_map(|l| l.strip_prefix("mapledeck: console on "));
+        named.expect("a console").parse().expect("an address")
+    }
+
+    /// Calls as operators do; the status of the answer.
+    pub fn call(&self, method: &str, path: &str) -> u16 {
+        let mut caller = Client::connect(self.console());
+        caller.write(&format!("{method} {path} HTTP/1.1\r\nHost: console\r\n\r\n"));
+        let answer = caller.answer().expect("an answer");
+        assert!(caller.ends(), "one call a connection");
+        answer.status()
+    }
+
     pub fn log(&self) -> String {
         self.log.lock().unwrap().clone()
     }
--- a/gateway/tests/lifecycle.rs
+++ b/gateway/tests/lifecycle.rs
@@ -11,7 +11,9 @@
     let dir = folder();
     let file = dir.join("config.json");
     let mut command = Command::new(env!("CARGO_BIN_EXE_mapledeck"));
-    command.env_remove("RELAY_CONFIG").env_remove("RELAY_LISTEN").env_remove("RELAY_DISCOVERY");
+    for name in ["RELAY_CONFIG", "RELAY_LISTEN", "RELAY_DISCOVERY", "RELAY_CONSOLE"] {
+        command.env_remove(name);
+    }
     if let Some(config) = config {
         std::fs::write(&file, config).expect("written");
         command.env("RELAY_CONFIG", &file);
@@ -32,6 +34,7 @@
         (Some(good.replace(r#""listen":"127.0.0.1:0""#, r#""listen":"here""#)), "listen"),
         (Some(good.replace(r#""seed":"92094eb940cf389a""#, r#""seed":"xyz""#)), "seed"),
         (Some(good.replace(r#""sockets":256"#, r#""sockets":8"#)), "limits.sockets"),
+        (Some(good.replace(r#""listen""#, r#""console":"nowhere","listen""#)), "console"),
         (Some(good.replace(r#""MaxAttempts":5,"#, "")), "MaxAttempts"),
         (Some(good.replace("read_like", "unheard_of")), "Effect"),
         (Some(good.replace(r#""settings":"#, r#""known":{"version":"x"},"settings":"#)), "known.version"),
--- a/src/api.rs
+++ b/src/api.rs
@@ -248,6 +248,10 @@
     Outcome(Outcome),
     /// The client left; nothing more is owed.
     Departed(RequestId),
+    /// The operators leave a server out, whatever the list says of it ...
+    Disabled(ServerId),
+    /// ... and put it back.
+    Enabled(ServerId),
     Timer(Token),
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -48,6 +48,9 @@
 const SLOW_FORGET: f64 = 6.0;
 /// Seconds in which a load report loses its weight (ours).
 const REPORT_FORGET: f64 = 1.0;
+/// Seconds for which a server that was put back may have been restarted without the list telling (ours: news
+/// of it takes up to five). It counts as cold as one that has just started.
+const BACK_COLD: f64 = 6.0;
 /// Seconds of memory of rates of asks, sends and answers (ours).
 const RATE_MEMORY: f64 = 3.0;
 /// Weights in the choice of server: of the price of crossing zones, of a second try there, of chance (ours).
@@ -264,6 +267,10 @@
     /// Sends a cold server may still get, and when that was reckoned.
     cold_tokens: f64,
     cold_at: Time,
+    /// The operators put it back: when, if it may have been restarted since it was left out and the list has
+    /// not said so; and whether it has been sent nothing since.
+    back: Option<Time>,
+    owed: bool,
 }
 
 impl Server {
@@ -275,11 +282,12 @@
     /// Share of its capacity that a started server has at least; 1 when warm.
     fn warmth(&self, now: Time, cfg: &Settings) -> f64 {
         let ramp = cfg.cold_ramp.as_secs_f64();
+        let from = sane(cfg.cold_from).clamp(0.01, 1.0);
+        if self.back.is_some_and(|back| now.since(back) < BACK_COLD) {
+            return from;
+        }
         match self.info.started {
-            Some(started) if now.since(started) < ramp => {
-                let from = sane(cfg.cold_from).clamp(0.01, 1.0);
-                from + (1.0 - from) * now.since(started) / ramp
-            }
+            Some(started) if now.since(started) < ramp => from + (1.0 - from) * now.since(started) / ramp,
             _ => 1.0,
         }
     }
@@ -486,6 +494,8 @@
     now: Time,
     started: Option<Time>,
     servers: BTreeMap<ServerId, Server>,
+    /// Servers that the operators leave out, and since when. Beside the list, which says nothing of them.
+    disabled: BTreeMap<ServerId, Time>,
     requests: BTreeMap<RequestId, Request>,
     customers: BTreeMap<CustomerId, Customer>,
     shedder: Shedder,
@@ -520,6 +530,7 @@
             now: Time(0),
             started: None,
             servers: BTreeMap::new(),
+            disabled: BTreeMap::new(),
             requests: BTreeMap::new(),
             customers: BTreeMap::new(),
             kinds: BTreeMap::new(),
@@ -552,6 +563,10 @@
                 self.requests.entry(id).and_modify(|r| r.departed = true);
                 self.finish(id, None, actions);
             }
+            Event::Disabled(server) => {
+                self.disabled.entry(server).or_insert(self.now);
+            }
+            Event::Enabled(server) => self.enable(server),
             Event::Timer(Token(TOKEN_STEP)) => self.step(actions),
             Event::Timer(Token(token)) => {
                 let Ok(id) = u32::try_from(token >> 2).map(RequestId) else { return };
@@ -580,14 +595,26 @@
             let fresh = |info: ServerInfo| Server { cold_tokens: part, ..Server::new(info, now) };
             let server = self.servers.entry(info.id).or_insert_with(|| fresh(info.clone()));
             if restarted {
-                let out = std::mem::take(&mut server.out);
-                *server = Server { out, ..fresh(info) };
+                let (out, owed) = (std::mem::take(&mut server.out), server.owed);
+                *server = Server { out, owed, ..fresh(info) };
             } else {
                 server.info = info;
             }
         }
     }
 
+    /// Puts a server back. What was learnt of it is of another life: it counts as cold until the list has had
+    /// time to tell of a restart, and gets the next request that it may take: nothing else tells how it is.
+    fn enable(&mut self, id: ServerId) {
+        let (Some(since), now) = (self.disabled.remove(&id), self.now) else { return };
+        if let Some(server) = self.servers.get_mut(&id) {
+            let (out, info) = (std::mem::take(&mut server.out), server.info.clone());
+            let back = info.started.is_none_or(|started| started < since).then_some(now);
+            *server =
+                Server { out, back, owed: true, cold_tokens: self.random.next(), ..Server::new(info, now) };
+        }
+    }
+
     fn arrive(&mut self, new: NewRequest, actions: &mut Vec<Action>) {
         let (now, id) = (self.now, new.id);
         let known = self.cfg.classes.get(new.class.0).cloned().zip(self.cfg.plans.get(new.plan.0).cloned());
@@ -750,7 +777,10 @@
         let noise: Vec<f64> = (0..self.servers.len()).map(|_| self.random.next()).collect();
         let mut best: Option<(f64, ServerId)> = None;
         for (s, noise) in self.servers.values_mut().zip(noise) {
-            if s.info.lifecycle != Lifecycle::Running || !fits(&s.info) {
+            if s.info.lifecycle != Lifecycle::Running
+                || self.disabled.contains_key(&s.info.id)
+                || !fits(&s.info)
+            {
                 continue;
             }
             let (size, warmth, out) = (s.size(mean_size), s.warmth(now, &self.cfg), s.out.len() as f64);
@@ -772,7 +802,8 @@
                 * load
                 * (1.0 + CHOICE.0 * abroad)
                 * again
-                * (1.0 + CHOICE.2 * noise);
+                * (1.0 + CHOICE.2 * noise)
+                * if s.owed { 0.0 } else { 1.0 };
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, s.info.id));
             }
@@ -788,6 +819,7 @@
         let (class, deadline, customer) = (r.class, r.deadline, r.customer);
         let (doubted, usual) = (now.after_secs(self.patience(class)), self.latency[class]);
         if let Some(s) = self.servers.get_mut(&server) {
+            s.owed = false;
             s.out.push(Out { id, attempt, sent: now, doubted, usual, overtaken: None });
             if s.warmth(now, &self.cfg) < 1.0 {
                 s.cold_tokens -= 1.0;
@@ -982,7 +1014,8 @@
     }
 
     fn usable(&self) -> impl Iterator<Item = &Server> {
-        self.servers.values().filter(|s| s.info.lifecycle == Lifecycle::Running)
+        let listed = self.servers.values().filter(|s| s.info.lifecycle == Lifecycle::Running);
+        listed.filter(|s| !self.disabled.contains_key(&s.info.id))
     }
 
     /// Every 100 ms: samples what is still out, moves f, and once a second cuts the slices anew.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -623,3 +623,47 @@
         assert!(sent(&actions).is_some(), "request {n} of four to three servers");
     }
 }
+
+/// A server that the operators leave out gets nothing whatever the list says, be it that it starts anew.
+#[test]
+fn what_operators_leave_out_gets_nothing_until_it_is_put_back() {
+    let mut door = Door::new(settings(safe(), vec![roomy()]), 2);
+    door.event(Event::Disabled(ServerId(0)));
+    door.event(Event::Disabled(ServerId(0)));
+    let started = |at: u64| ServerInfo { started: Some(Time(at)), ..server(0) };
+    for at in [0, 1_000_000_000, 2_000_000_000] {
+        door.list(Scope::Delta, vec![started(at)]);
+        for _ in 0..20 {
+            assert_eq!(door.serve(0, 0, 1, 10), Some(ServerId(1)));
+        }
+    }
+    door.event(Event::Enabled(ServerId(0)));
+    door.event(Event::Enabled(ServerId(0)));
+    let next: Vec<_> = (0..100).map(|_| door.serve(0, 0, 1, 10)).collect();
+    assert!(next.contains(&Some(ServerId(0))), "it gets work within a second");
+    // One that was never left out is not taken for one that was.
+    door.event(Event::Enabled(ServerId(1)));
+    assert!((0..10).any(|_| door.serve(0, 0, 1, 10) == Some(ServerId(1))));
+}
+
+/// A restart of a server that was left out becomes known late: until then it is not taken for warm, and however slow
+/// it was before, it is sent something.
+#[test]
+fn a_server_put_back_is_taken_for_cold_until_the_list_can_have_told() {
+    let mut door = Door::new(settings(safe(), vec![roomy()]), 3);
+    for _ in 0..300 {
+        door.serve(0, 0, 1, 10);
+    }
+    door.event(Event::Disabled(ServerId(0)));
+    door.pass(3000);
+    door.event(Event::Enabled(ServerId(0)));
+    let share = |door: &mut Door, tries: usize| {
+        let hits = (0..tries).filter(|_| door.serve(0, 0, 1, 10) == Some(ServerId(0))).count();
+        hits as f64 / tries as f64
+    };
+    let cold = share(&mut door, 400);
+    assert!(cold > 0.0 && cold < 0.2, "{cold}: a third would push a cold server over");
+    door.pass(3000);
+    let warm = share(&mut door, 400);
+    assert!(warm > 0.25, "{warm}: the list has told of no restart");
+}
