Let a new process take over the socket and the accounts of the old one

Ruled out: discovery or the counter in the way; the log ends at the bind. What a dead process left, a broken message, a silent peer and a wrong descriptor have tests too. The module has one unsafe block: the descriptor that the platform names becomes the process's own.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -59,6 +59,9 @@
     }
 }
 
+/// Connections there are in any case.
+const LEAST: usize = 8;
+
 /// The address that a variable names, if it is set.
 fn variable(name: &str) -> Result<Option<SocketAddr>, String> {
     let Ok(value) = env::var(name) else { return Ok(None) };
@@ -72,10 +75,12 @@
 impl Config {
     /// Connections from clients and to servers. A request holds one of each, and a second copy one more to a
     /// server; but clients keep far more connections than are in use, as each of them opens its own.
-    pub fn budget(&self) -> (usize, usize) {
+    /// While another process of this gateway lives, the two share them.
+    pub fn budget(&self, shared: bool) -> (usize, usize) {
         // Those of the operators' callers are kept free for them, whatever the clients do.
         let console = self.console.map_or(0, |_| CALLERS);
-        let free = self.limits.sockets - RESERVED - console;
+        let sockets = if shared { self.limits.sockets / 2 } else { self.limits.sockets };
+        let free = sockets.saturating_sub(RESERVED + console).max(LEAST);
         let clients = free * 3 / 5;
         (clients, free - clients)
     }
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -5,7 +5,7 @@
 use crate::upstream::{collect, Link};
 use cherrypulley::{Event, Lifecycle, Scope, ServerId, ServerInfo, Time};
 use hyper::{Request, StatusCode};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -56,7 +56,7 @@
     Ok(entries)
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Host {
     id: String,
     addr: SocketAddr,
@@ -73,7 +73,7 @@
     started_ms: u64,
 }
 
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "UPPERCASE")]
 enum State {
     Serving,
@@ -101,14 +101,18 @@
 
 /// Numbers for ids of servers, by a hash, so that a server has the same number after a restart of the gateway;
 /// one whose number is taken gets the next free one.
-#[derive(Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 pub struct Ids(HashMap<u32, Numbered>);
 
+#[derive(Clone, Serialize, Deserialize)]
 struct Numbered {
     id: String,
+    /// As the list last had it, while it is listed.
+    host: Option<Host>,
     /// The operators leave it out, and may ask for it back whatever becomes of it.
     disabled: bool,
     /// Since when it is not listed any more.
+    #[serde(skip)]
     gone: Option<Instant>,
 }
 
@@ -126,7 +130,7 @@
         self.0.entry(number).or_insert_with(|| {
             // The decisions' own lines name servers by number.
             log(format_args!("server {id} is number {number}"));
-            Numbered { id: id.to_owned(), disabled: false, gone: None }
+            Numbered { id: id.to_owned(), host: None, disabled: false, gone: None }
         });
         ServerId(number)
     }
@@ -148,6 +152,9 @@
                 numbered.gone = (server.lifecycle == Lifecycle::Gone).then_some(now);
             }
         }
+        for numbered in self.0.values_mut().filter(|numbered| numbered.gone.is_some()) {
+            numbered.host = None;
+        }
         self.0.retain(|_, numbered| {
             numbered.disabled || numbered.gone.is_none_or(|gone| now - gone < NUMBER_KEPT)
         });
@@ -190,6 +197,15 @@
         self.ids.clone()
     }
 
+    /// Takes over what another process of this gateway held. The agent may have told that one more than it passed on,
+    /// so the whole list is asked for next.
+    pub fn adopt(&mut self, ids: Ids) {
+        let servers = ids.0.values().filter_map(|n| n.host.clone().map(Entry::Readable)).collect();
+        self.ids.replace(ids);
+        self.told(HostList { version: 0, full: true, servers });
+        self.version = None;
+    }
+
     /// Takes a list in.
     pub fn told(&mut self, list: HostList) {
         let ids = self.ids.clone();
@@ -219,8 +235,12 @@
                     continue;
                 }
             };
+            let id = ids.number(&host.id);
+            if let Some(numbered) = ids.0.get_mut(&id.0) {
+                numbered.host = Some(host.clone());
+            }
             let info = ServerInfo {
-                id: ids.number(&host.id),
+                id,
                 zone: self.zones.index(host.zone),
                 cell: host.cell,
                 kind: self.kinds.index(host.kind),
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -1,10 +1,12 @@
 //! Owns the decisions: hands events in, carries actions out, and keeps the requests that are open.
 
 use crate::clock::Clock;
+use crate::handover::Links;
 use crate::log::log;
 use crate::upstream::{Ending, Order, Served, Upstream};
 use cherrypulley::{
-    Action, AttemptNo, Event, Gateway, NewRequest, Outcome, RequestId, ServerId, Status, Time, Token,
+    Action, AttemptNo, Elsewhere, Event, Gateway, NewRequest, Outcome, RequestId, ServerId, Status, Time,
+    Token,
 };
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
@@ -30,6 +32,7 @@
 }
 
 struct Attempt {
+    server: ServerId,
     sent: Time,
     /// While it is out.
     task: Option<AbortHandle>,
@@ -37,6 +40,7 @@
 
 /// A request that still gets events.
 struct Open {
+    request: NewRequest,
     order: Rc<Order>,
     deadline: Time,
     /// Until the final answer.
@@ -67,6 +71,8 @@
 pub struct Engine {
     pub clock: Clock,
     pub upstream: Upstream,
+    /// Other processes of this gateway, which keep the same accounts.
+    pub links: Links,
     me: Weak<Engine>,
     max_attempts: usize,
     decide: RefCell<Decide>,
@@ -80,8 +86,15 @@
 }
 
 impl Engine {
-    pub fn new(mut gateway: Gateway, clock: Clock, upstream: Upstream, max_attempts: u32) -> Rc<Engine> {
-        let decide = move |now, event, actions: &mut Vec<Action>| gateway.handle(now, event, actions);
+    pub fn new(
+        gateway: Rc<RefCell<Gateway>>,
+        clock: Clock,
+        upstream: Upstream,
+        max_attempts: u32,
+    ) -> Rc<Engine> {
+        let decide = move |now, event, actions: &mut Vec<Action>| {
+            gateway.borrow_mut().handle(now, event, actions);
+        };
         Engine::deciding(Box::new(decide), clock, upstream, max_attempts)
     }
 
@@ -89,6 +102,7 @@
         Rc::new_cyclic(|me| Engine {
             clock,
             upstream,
+            links: Links::default(),
             me: me.clone(),
             max_attempts: max_attempts as usize,
             decide: RefCell::new(decide),
@@ -109,7 +123,8 @@
         request.id = id;
         let (answer, answered) = oneshot::channel();
         let deadline = request.deadline;
-        let open = Open { order: Rc::new(order), deadline, answer: Some(answer), attempts: Vec::new() };
+        let (order, attempts) = (Rc::new(order), Vec::new());
+        let open = Open { request: request.clone(), order, deadline, answer: Some(answer), attempts };
         self.open.borrow_mut().insert(id, open);
         self.set_timer(deadline, Due::Answer(id));
         self.post(Event::Request(request));
@@ -221,7 +236,14 @@
             _ => None,
         };
         let out = task.is_some();
-        open.attempts.push(Attempt { sent: now, task });
+        open.attempts.push(Attempt { server, sent: now, task });
+        self.links.sent(|| Elsewhere::Sent {
+            customer: open.request.customer,
+            plan: open.request.plan,
+            gateways: open.request.gateways,
+            units: if attempt.0 == 0 { open.request.units } else { 0.0 },
+            server,
+        });
         drop(all);
         if out {
             self.set_timer(until, Due::GiveUp(id, attempt));
@@ -257,6 +279,13 @@
 
     fn over(&self, id: RequestId, attempt: AttemptNo, sent: Time, ending: Ending) {
         let elapsed = Duration::from_nanos(self.clock.now().0.saturating_sub(sent.0));
+        if let Some(open) = self.open.borrow().get(&id) {
+            if let Some(Attempt { server, .. }) = open.attempts.get(attempt.0 as usize) {
+                let (customer, server) = (open.request.customer, *server);
+                let answered = ending.status == Status::Ok;
+                self.links.sent(|| Elsewhere::Ended { customer, server, answered });
+            }
+        }
         self.post(Event::Outcome(Outcome {
             id,
             attempt,
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -226,14 +226,16 @@
     Open,
     /// It answers, but keeps no connection and wants no more clients.
     Draining,
-    /// The same, and the process ends.
+    /// The same, and the process ends ...
     Ending,
+    /// ... while another one of this gateway takes clients.
+    Replaced,
 }
 
 pub struct Front {
     engine: Rc<Engine>,
     site: Site,
-    budget: usize,
+    budget: Cell<usize>,
     ready: Cell<bool>,
     /// Connections are accepted.
     accepting: Cell<bool>,
@@ -252,7 +254,7 @@
         Rc::new(Front {
             engine,
             site,
-            budget,
+            budget: Cell::new(budget),
             ready: Cell::new(false),
             accepting: Cell::new(false),
             service: Cell::new(Service::Open),
@@ -288,7 +290,7 @@
                     sleep(ACCEPT_PAUSE).await;
                 }
             }
-            while self.clients.borrow().len() > self.budget {
+            while self.clients.borrow().len() > self.budget.get() {
                 self.crowded.set(true);
                 // Those told to close may take their time, so others are told after a while.
                 let pause = if self.close_one_idle() { SETTLE } else { CROWDED_PAUSE };
@@ -414,7 +416,7 @@
     /// With more connections idle behind an answer than may be, closes the one that has been for the longest time.
     /// Each answer leaves one more at the most, so one is enough.
     fn thin(&self) {
-        let most = (self.budget as f64 * IDLE_PART) as usize;
+        let most = (self.budget.get() as f64 * IDLE_PART) as usize;
         let clients = self.clients.borrow();
         if clients.len() <= most {
             return;
@@ -429,7 +431,8 @@
 
     /// Whether this process takes clients.
     pub fn takes_clients(&self) -> bool {
-        self.ready.get() && self.accepting.get() && self.service.get() != Service::Ending
+        let leaving = matches!(self.service.get(), Service::Ending | Service::Replaced);
+        self.ready.get() && self.accepting.get() && !leaving
     }
 
     /// Keeps no connection after its next answer, and none that stays idle.
@@ -448,12 +451,25 @@
         }
     }
 
-    /// Drains for good: the process ends.
-    pub fn close(&self) {
-        self.service.set(Service::Ending);
+    pub fn draining(&self) -> bool {
+        self.service.get() == Service::Draining
+    }
+
+    /// Drains for good: the process ends, `replaced` by another one or not.
+    pub fn close(&self, replaced: bool) {
+        // The gateway as a whole is up, unless it is drained.
+        let up = replaced && !self.draining();
+        self.service.set(if up { Service::Replaced } else { Service::Ending });
         self.tell_all();
     }
 
+    /// Connections that may be open from now on.
+    pub fn set_budget(&self, budget: usize) {
+        self.budget.set(budget);
+        let over = self.clients.borrow().len().saturating_sub(budget);
+        (0..over).all(|_| self.close_one_idle());
+    }
+
     /// One that has asked nothing yet is only just open, and its first request on the way: it would be closed in the
     /// client's face.
     fn tell_all(&self) {
@@ -492,7 +508,7 @@
                 (&Method::GET, _) if !self.ready.get() => no("no list of servers yet"),
                 (&Method::GET, Service::Draining) => no("draining"),
                 (&Method::GET, Service::Ending) => no("ending"),
-                (&Method::GET, Service::Open) => Ok(plain(StatusCode::OK, "ready")),
+                (&Method::GET, Service::Open | Service::Replaced) => Ok(plain(StatusCode::OK, "ready")),
                 _ => Err(bad("/up takes GET")),
             };
         }
--- /dev/null
+++ b/gateway/src/handover.rs
@@ -0,0 +1,250 @@
+//! While one process of the gateway replaces another: the listening socket that both were started with, what the
+//! new process takes over from the living old one, and what each tells the other from then on.
+
+use crate::discovery::Ids;
+use crate::engine::Engine;
+use crate::log::log;
+use crate::operations::{Change, Operations};
+use cherrypulley::{Elsewhere, Event, Gateway, Memory};
+use serde::{Deserialize, Serialize};
+use socket2::Socket;
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::os::fd::{FromRawFd, RawFd};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use std::{env, fs, io, process};
+use tokio::io::{AsyncBufRead, AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// Form of what is handed over. Processes of other forms start afresh beside each other.
+const VERSION: u32 = 1;
+/// Bound of what is handed over, in bytes: some thousand customers.
+const ESTATE_MOST: u64 = 2 << 20;
+/// Bound of one piece of news.
+const NEWS_MOST: u64 = 4 << 10;
+/// Pieces of news that may wait to be read. A process that reads none is no other half of this gateway.
+const NEWS_WAITING: usize = 4096;
+/// The old process answers within this time or is taken for dead: the new one must be ready in six seconds, and its
+/// operators have an answer within one.
+const ANSWER_MOST: Duration = Duration::from_millis(800);
+/// Pause after an accept that failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The clients' listening socket, where whoever started this process holds it and names its descriptor. To be
+/// called before anything else is opened, which could otherwise have that number.
+#[allow(unsafe_code)]
+pub fn inherited(listen: SocketAddr) -> Result<Option<std::net::TcpListener>, String> {
+    let Ok(text) = env::var("RELAY_FD") else { return Ok(None) };
+    let wrong = |why: String| format!("RELAY_FD: {text:?}: {why}");
+    let fd: RawFd = text.parse().map_err(|e| wrong(format!("{e}")))?;
+    // Below are the standard streams. What is not open, or no socket, is not taken, nor closed.
+    let link = fs::read_link(format!("/proc/self/fd/{fd}")).map_err(|e| wrong(e.to_string()))?;
+    if fd < 3 || !link.to_string_lossy().starts_with("socket:") {
+        return Err(wrong("no socket".to_owned()));
+    }
+    // SAFETY: it is open, as just seen, by nobody's hand here: nothing was opened before and the starter names it
+    // for this process to own.
+    let socket = unsafe { Socket::from_raw_fd(fd) };
+    let checked = || -> io::Result<bool> {
+        let addr = socket.local_addr()?.as_socket();
+        socket.set_cloexec(true)?;
+        socket.set_nonblocking(true)?;
+        Ok(socket.is_listener()? && addr.is_some_and(|addr| listen.port() == 0 || addr == listen))
+    };
+    match checked() {
+        Ok(true) => Ok(Some(socket.into())),
+        Ok(false) => Err(wrong(format!("does not listen on {listen}"))),
+        Err(e) => Err(wrong(e.to_string())),
+    }
+}
+
+/// What the new process takes over.
+#[derive(Serialize, Deserialize)]
+pub struct Estate {
+    version: u32,
+    pub ids: Ids,
+    pub draining: bool,
+    pub memory: Memory,
+}
+
+/// What the two tell each other.
+#[derive(Debug, Serialize, Deserialize)]
+enum News {
+    Change(Change),
+    Elsewhere(Elsewhere),
+}
+
+/// The ways to the other processes of this gateway; there is none but during an upgrade.
+#[derive(Default)]
+pub struct Links(RefCell<Vec<mpsc::Sender<String>>>);
+
+impl Links {
+    pub fn any(&self) -> bool {
+        !self.0.borrow().is_empty()
+    }
+
+    pub fn sent(&self, news: impl FnOnce() -> Elsewhere) {
+        if self.any() {
+            self.tell(&News::Elsewhere(news()));
+        }
+    }
+
+    pub fn changed(&self, change: &Change) {
+        if self.any() {
+            self.tell(&News::Change(change.clone()));
+        }
+    }
+
+    fn tell(&self, news: &News) {
+        if let Ok(line) = serde_json::to_string(news) {
+            self.0.borrow_mut().retain(|link| link.try_send(line.clone() + "\n").is_ok());
+        }
+    }
+}
+
+/// A way to another process that has not begun to be used.
+pub struct Peer(BufReader<OwnedReadHalf>, OwnedWriteHalf);
+
+/// Where the processes of the gateway at this address meet.
+fn place(listen: SocketAddr) -> PathBuf {
+    env::temp_dir().join(format!("mapledeck-{}.sock", listen.port()))
+}
+
+/// Asks the living process of this gateway for what it knows. `None` where there is none: a socket in the file system
+/// may be a dead one's, and what cannot be read is not half taken.
+pub async fn take_over(listen: SocketAddr) -> Option<(Estate, Peer)> {
+    let path = place(listen);
+    match timeout(ANSWER_MOST, ask(&path)).await {
+        Ok(Ok(taken)) => {
+            log(format_args!("takes over from the process at {}", path.display()));
+            return Some(taken);
+        }
+        Ok(Err(e)) if e.kind() == io::ErrorKind::NotFound => {}
+        Ok(Err(e)) => log(format_args!("starts afresh: {}: {e}", path.display())),
+        Err(_) => log(format_args!("starts afresh: {}: no answer", path.display())),
+    }
+    None
+}
+
+async fn ask(path: &Path) -> io::Result<(Estate, Peer)> {
+    let (reader, mut writer) = UnixStream::connect(path).await?.into_split();
+    let mut reader = BufReader::new(reader);
+    writer.write_all(format!("{VERSION}\n").as_bytes()).await?;
+    let line = line(&mut reader, ESTATE_MOST).await?;
+    let estate: Estate = serde_json::from_str(&line)?;
+    if estate.version != VERSION {
+        return Err(io::Error::other(format!("version {}", estate.version)));
+    }
+    Ok((estate, Peer(reader, writer)))
+}
+
+/// A whole line; the end before its end, and one that is too long, are errors.
+async fn line(reader: &mut (impl AsyncBufRead + Unpin), most: u64) -> io::Result<String> {
+    let mut line = String::new();
+    reader.take(most).read_line(&mut line).await?;
+    if line.pop() != Some('\n') {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    Ok(line)
+}
+
+/// This process's side of an upgrade.
+pub struct Handover {
+    pub operations: Rc<Operations>,
+    pub gateway: Rc<RefCell<Gateway>>,
+    pub engine: Rc<Engine>,
+    /// Called when a process comes beside this one, and when it is alone again: the two share all limits.
+    pub shared: Box<dyn Fn(bool)>,
+}
+
+impl Handover {
+    /// Keeps in step with the process that this one took over from.
+    pub fn join(self: &Rc<Self>, peer: Peer) {
+        let (sender, receiver) = mpsc::channel(NEWS_WAITING);
+        spawn_local(self.clone().exchange(peer, sender, receiver));
+    }
+
+    /// Offers what this process knows to whichever comes next, for good.
+    pub fn offer(self: Rc<Self>, listen: SocketAddr) -> io::Result<impl Future<Output = ()>> {
+        // Put in place whole, over that of the process before.
+        let (place, new) = (place(listen), place(listen).with_extension(process::id().to_string()));
+        drop(fs::remove_file(&new));
+        let listener = UnixListener::bind(&new)?;
+        fs::rename(&new, &place)?;
+        Ok(async move {
+            loop {
+                match listener.accept().await {
+                    Ok((stream, _)) => drop(spawn_local(self.clone().hand_over(stream))),
+                    Err(_) => sleep(ACCEPT_PAUSE).await,
+                }
+            }
+        })
+    }
+
+    async fn hand_over(self: Rc<Self>, stream: UnixStream) {
+        let (reader, writer) = stream.into_split();
+        let mut peer = Peer(BufReader::new(reader), writer);
+        match timeout(ANSWER_MOST, line(&mut peer.0, NEWS_MOST)).await {
+            Ok(Ok(version)) if version == VERSION.to_string() => {}
+            _ => return,
+        }
+        let estate = Estate {
+            version: VERSION,
+            ids: self.operations.ids.borrow().clone(),
+            draining: self.operations.front.draining(),
+            memory: self.gateway.borrow().memory(),
+        };
+        let Ok(estate) = serde_json::to_string(&estate) else { return };
+        let (sender, receiver) = mpsc::channel(NEWS_WAITING);
+        // First in line, so that the news that follows is of what came after it.
+        drop(sender.try_send(estate + "\n"));
+        log("hands over to a new process");
+        self.exchange(peer, sender, receiver).await;
+    }
+
+    /// Tells and hears news until the other process is gone.
+    async fn exchange(
+        self: Rc<Self>,
+        peer: Peer,
+        sender: mpsc::Sender<String>,
+        mut receiver: mpsc::Receiver<String>,
+    ) {
+        let links = &self.engine.links;
+        links.0.borrow_mut().push(sender.clone());
+        (self.shared)(true);
+        let Peer(mut reader, mut writer) = peer;
+        let telling = async {
+            while let Some(line) = receiver.recv().await {
+                if writer.write_all(line.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        };
+        let hearing = async {
+            while let Ok(line) = line(&mut reader, NEWS_MOST).await {
+                match serde_json::from_str(&line) {
+                    Ok(News::Elsewhere(news)) => self.engine.post(Event::Elsewhere(news)),
+                    Ok(News::Change(change)) => drop(self.operations.make(&change)),
+                    Err(_) => return,
+                }
+            }
+        };
+        tokio::select! {
+            () = telling => {}
+            () = hearing => {}
+        }
+        links.0.borrow_mut().retain(|link| !link.same_channel(&sender));
+        if !links.any() {
+            self.engine.post(Event::Elsewhere(Elsewhere::Gone));
+            (self.shared)(false);
+        }
+        log("the other process is gone");
+    }
+}
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -1,5 +1,5 @@
 //! The gateway: cherrypulley's decisions between HTTP/1.1 clients and servers, on one thread.
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 
 mod clock;
 mod config;
@@ -8,6 +8,7 @@
 mod engine;
 mod framing;
 mod front;
+mod handover;
 mod log;
 mod operations;
 mod socket;
@@ -21,7 +22,9 @@
 use discovery::Discovery;
 use engine::Engine;
 use front::Front;
+use handover::Handover;
 use operations::Operations;
+use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -46,9 +49,14 @@
             return ExitCode::from(2);
         }
     };
+    // Before anything is opened: what it names is then not ours.
+    let inherited = handover::inherited(config.listen).unwrap_or_else(|e| {
+        log(e);
+        None
+    });
     let run = || {
         let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default())?;
-        runtime.block_on(run(config))
+        runtime.block_on(run(config, inherited))
     };
     match run() {
         Ok(()) => ExitCode::SUCCESS,
@@ -78,51 +86,94 @@
 }
 
 /// Serves until SIGTERM, and then until all that was taken is answered.
-async fn run(config: Config) -> io::Result<()> {
+async fn run(mut config: Config, inherited: Option<std::net::TcpListener>) -> io::Result<()> {
     // Before anything is accepted: without a handler SIGHUP ends the process.
     let hangup = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let clock = Clock::start();
-    let (clients, servers) = config.budget();
-    let site = config.settings;
+    let (clients, servers) = config.budget(false);
+    // Bound at once, so that calls wait for their answer rather than meet nobody.
+    let console = match config.console {
+        Some(addr) => Some(bind("console", addr).await?),
+        None => None,
+    };
+    if let Some(listener) = &console {
+        log(format_args!("console on {}", listener.local_addr()?));
+    }
+    let (listener, replaceable) = match inherited {
+        Some(listener) => (TcpListener::from_std(listener)?, true),
+        None => (bind("listen", config.listen).await?, false),
+    };
+    let listen = listener.local_addr()?;
+    let taken = if replaceable { handover::take_over(listen).await } else { None };
+    let site = config.settings.clone();
     let upstream = Upstream::new(clock, site.connect_timeout, site.idle, servers);
-    let gateway = Gateway::new(site.settings.clone(), config.seed);
-    let engine = Engine::new(gateway, clock, upstream, site.settings.max_attempts);
+    let gateway = Rc::new(RefCell::new(Gateway::new(site.settings.clone(), config.seed)));
+    let engine = Engine::new(gateway.clone(), clock, upstream, site.settings.max_attempts);
     let front = Front::new(engine.clone(), site.clone(), clients);
 
     let (agent, agents) = watch::channel(config.discovery);
     spawn_local(reload(hangup, agent));
     let mut discovery = Discovery::new(engine.clone(), agents, site.zones, site.kinds);
-    if let Some(known) = config.known {
+    let operations = Operations { engine: engine.clone(), front: front.clone(), ids: discovery.ids() };
+    let operations = Rc::new(operations);
+    let known = config.known.take();
+    let (sharing, halves) = (front.clone(), engine.clone());
+    let handover = Rc::new(Handover {
+        operations: operations.clone(),
+        gateway: gateway.clone(),
+        engine: engine.clone(),
+        shared: Box::new(move |shared| {
+            let (clients, servers) = config.budget(shared);
+            sharing.set_budget(clients);
+            halves.upstream.set_budget(servers);
+        }),
+    });
+    if let Some((estate, peer)) = taken {
+        gateway.borrow_mut().remember(estate.memory);
+        discovery.adopt(estate.ids);
+        if estate.draining {
+            front.drain();
+        }
+        front.set_ready();
+        handover.join(peer);
+    } else if let Some(known) = known {
         discovery.told(known);
         front.set_ready();
     }
-    if let Some(console) = config.console {
-        let listener = bind("console", console).await?;
-        log(format_args!("console on {}", listener.local_addr()?));
-        let operations = Operations { engine: engine.clone(), front: front.clone(), ids: discovery.ids() };
-        spawn_local(Console::new(Rc::new(operations)).serve(listener));
+    if replaceable {
+        match handover.offer(listen) {
+            Ok(offering) => drop(spawn_local(offering)),
+            Err(e) => log(format_args!("the next process will start afresh: {e}")),
+        }
+    }
+    if let Some(listener) = console {
+        spawn_local(Console::new(operations).serve(listener));
     }
     let held = front.clone();
     spawn_local(async move { discovery.follow(|| held.set_ready()).await });
     let timers = engine.clone();
     spawn_local(async move { timers.run_timers().await });
-    spawn_local(async move { engine.run_sweeps().await });
+    let sweeps = engine.clone();
+    spawn_local(async move { sweeps.run_sweeps().await });
 
-    let listener = bind("listen", config.listen).await?;
-    log(format_args!("listening on {}", listener.local_addr()?));
+    log(format_args!("listening on {listen}"));
     tokio::select! {
         () = front.accept(&listener) => {}
         _ = terminate.recv() => {}
     }
     // From here on every answer closes its connection, so that clients move to the other gateways.
     let end = Instant::now() + LINGER;
-    front.close();
-    tokio::select! {
-        () = front.accept(&listener) => {}
-        () = sleep_until(end) => {}
+    let replaced = engine.links.any();
+    front.close(replaced);
+    // What waits in the queue of a socket that another process listens on is that one's.
+    if !replaced {
+        tokio::select! {
+            () = front.accept(&listener) => {}
+            () = sleep_until(end) => {}
+        }
+        front.accept_queued(&listener);
     }
-    front.accept_queued(&listener);
     drop(listener);
     front.emptied().await;
     Ok(())
--- a/gateway/src/operations.rs
+++ b/gateway/src/operations.rs
@@ -5,6 +5,7 @@
 use crate::front::Front;
 use crate::log::log;
 use cherrypulley::Event;
+use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::rc::Rc;
 
@@ -16,7 +17,7 @@
     Change(Change),
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
     /// Leave the pay server of this id out ...
     Disable(String),
@@ -45,12 +46,16 @@
     pub fn carry_out(&self, call: &Call) -> Result<(), Refusal> {
         match call {
             Call::Ready => self.front.takes_clients().then_some(()).ok_or(Refusal::NotReady),
-            Call::Change(change) => self.change(change),
+            Call::Change(change) => {
+                // Also where it is unknown here: the other process may have heard of more.
+                self.engine.links.changed(change);
+                self.make(change)
+            }
         }
     }
 
     /// Makes a change in this process.
-    fn change(&self, change: &Change) -> Result<(), Refusal> {
+    pub fn make(&self, change: &Change) -> Result<(), Refusal> {
         match change {
             Change::Disable(name) | Change::Enable(name) => {
                 let disabled = matches!(change, Change::Disable(_));
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -201,7 +201,7 @@
     idle_limit: IdleLimit,
     /// Mean time in which a connection comes up.
     connect_time: Cell<Duration>,
-    budget: usize,
+    budget: Cell<usize>,
     open: Rc<Cell<usize>>,
     /// Servers that are listed, and whether as running.
     known: RefCell<BTreeMap<ServerId, (Peer, Lifecycle)>>,
@@ -237,7 +237,7 @@
             connect_timeout,
             idle_limit: IdleLimit { most: idle.mul_f64(IDLE_SHARE), learnt: Cell::new(None) },
             connect_time: Cell::new(AT_ONCE),
-            budget,
+            budget: Cell::new(budget),
             open: Rc::default(),
             known: RefCell::default(),
             idle: RefCell::default(),
@@ -246,6 +246,12 @@
         }
     }
 
+    /// Connections that may be open from now on.
+    pub fn set_budget(&self, budget: usize) {
+        self.budget.set(budget);
+        while self.open.get() > budget && self.close_one_idle() {}
+    }
+
     /// Follows the list: addresses, and no idle connection to what drains, is gone or has started anew.
     pub fn listed(&self, scope: Scope, servers: &[ServerInfo], addresses: &[(ServerId, SocketAddr)]) {
         let mut known = self.known.borrow_mut();
@@ -335,7 +341,7 @@
             let (mut link, idle) = match self.idle(&peer) {
                 Some((link, idle)) => (link, Some(idle)),
                 None => {
-                    if self.open.get() >= self.budget && !self.close_one_idle() {
+                    if self.open.get() >= self.budget.get() && !self.close_one_idle() {
                         // Want of descriptors here, and nothing that the server has done.
                         return Status::Moot.into();
                     }
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -4,7 +4,8 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::os::fd::OwnedFd;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -288,6 +289,19 @@
     }
 
     pub fn start_with(script: &str, config: &str, variables: &[(&str, &str)]) -> Running {
+        Running::start_on(Stdio::inherit(), script, config, variables)
+    }
+
+    /// A gateway with a console that inherits this listening socket as descriptor 7, and shares this folder with
+    /// others.
+    pub fn inheriting(listener: &TcpListener, shared: &Path, config: &str) -> Running {
+        let socket = OwnedFd::from(listener.try_clone().expect("a copy"));
+        let shared = shared.to_str().expect("UTF-8");
+        let variables = [("RELAY_FD", "7"), ("RELAY_CONSOLE", "127.0.0.1:0"), ("TMPDIR", shared)];
+        Running::start_on(socket.into(), "exec 7<&0 0</dev/null; exec \"$0\"", config, &variables)
+    }
+
+    fn start_on(input: Stdio, script: &str, config: &str, variables: &[(&str, &str)]) -> Running {
         let dir = folder();
         let file = dir.join("config.json");
         std::fs::write(&file, config).expect("written");
@@ -297,6 +311,8 @@
             .env_remove("RELAY_LISTEN")
             .env_remove("RELAY_DISCOVERY")
             .env_remove("RELAY_CONSOLE")
+            .env_remove("RELAY_FD")
+            .stdin(input)
             .envs(variables.iter().copied())
             .stderr(Stdio::piped())
             .spawn()
@@ -419,6 +435,12 @@
         self.answer().expect("an answer")
     }
 
+    /// Asks on this connection alone.
+    pub fn ask_here(&mut self, request: &str) -> Message {
+        self.write(request);
+        self.answer().expect("an answer on the same connection")
+    }
+
     /// Whether the gateway closes the connection without another word.
     pub fn ends(&mut self) -> bool {
         let mut rest = Vec::new();
--- a/src/api.rs
+++ b/src/api.rs
@@ -1,9 +1,10 @@
 //! The interface of the decisions: what a gateway is told (settings, events) and what it asks for (actions).
 
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// An instant on the caller's clock, in nanoseconds. It has no particular origin and never goes back.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Time(pub u64);
 
 impl Time {
@@ -25,16 +26,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RequestId(pub u32);
 /// A back-end server; the id survives a restart of its process.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ServerId(pub u32);
 /// A customer, across all of its gateways.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct CustomerId(pub u64);
 /// Index of a request class in [`Settings::classes`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ClassId(pub usize);
 /// Index of a plan in [`Settings::plans`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct PlanId(pub usize);
 /// Number of an attempt within its request, from 0 in the order of the sends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -141,7 +142,7 @@
 }
 
 /// What the list says of a server's process.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Lifecycle {
     #[default]
     Running,
@@ -150,7 +151,7 @@
 }
 
 /// A line of the list of servers.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct ServerInfo {
     pub id: ServerId,
     pub zone: u32,
@@ -232,6 +233,18 @@
     pub report: LoadReport,
 }
 
+/// What another process of the same gateway does, while one replaces the other. For quotas, ceilings and cold
+/// servers the two count as one.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Elsewhere {
+    /// It has sent an attempt; units are counted with a request's first one.
+    Sent { customer: CustomerId, plan: PlanId, gateways: u32, units: f64, server: ServerId },
+    /// One that it had sent has ended, answered or not.
+    Ended { customer: CustomerId, server: ServerId, answered: bool },
+    /// It is gone, and with it what it had out.
+    Gone,
+}
+
 /// What happens to a gateway.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -252,6 +265,7 @@
     Disabled(ServerId),
     /// ... and put it back.
     Enabled(ServerId),
+    Elsewhere(Elsewhere),
     Timer(Token),
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -59,4 +59,4 @@
 mod rules;
 
 pub use api::*;
-pub use rules::Gateway;
+pub use rules::{Gateway, Memory};
--- a/src/numbers.rs
+++ b/src/numbers.rs
@@ -1,6 +1,7 @@
 //! Arithmetic that the decisions use, and no decision.
 
 use crate::api::{Plan, Time};
+use serde::{Deserialize, Serialize};
 
 /// A finite, non-negative number, whatever was told.
 pub fn sane(x: f64) -> f64 {
@@ -27,7 +28,7 @@
 }
 
 /// An average rate of events with exponential memory, in seconds.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Default, Serialize, Deserialize)]
 pub struct Rate {
     value: f64,
     at: Time,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,6 +6,7 @@
 
 use crate::api::*;
 use crate::numbers::{mix, sane, sane_plan, Random, Rate};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -95,8 +96,10 @@
 const TOKEN_CHECK: u64 = 2;
 
 /// What this gateway knows of one customer's quota.
-#[derive(Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 struct Customer {
+    number: PlanId,
+    #[serde(skip)]
     plan: Plan,
     gateways: f64,
     at: Time,
@@ -114,6 +117,8 @@
     /// Mean of the meter's readings, in units a second, and when the last one came.
     meter: Option<(f64, Time)>,
     out: u32,
+    /// Attempts that another process of this gateway has out.
+    elsewhere: u32,
 }
 
 impl Customer {
@@ -143,6 +148,20 @@
             .map_or(0.0, |(total, at)| (total - self.own_then).max(0.0) * (-now.since(at) / FORGET).exp())
     }
 
+    /// Takes a try's units, from the ceiling's store in any case.
+    fn take(&mut self, now: Time, units: f64, inside: bool) {
+        self.ceiling -= units;
+        if inside {
+            self.store -= units.min(self.store);
+            self.level -= units;
+        }
+        self.own.add(now, units);
+    }
+
+    fn held(&self) -> f64 {
+        f64::from(self.out) + f64::from(self.elsewhere)
+    }
+
     fn refill(&mut self, now: Time, meter_period: f64, most_units: f64) {
         let dt = now.since(self.at);
         let most = (self.plan.burst * self.slice).max(most_units.min(self.plan.burst));
@@ -170,7 +189,7 @@
         // What passed the quota in the period that the meter tells of came out of the store.
         let drained = (total - limit) * meter_period;
         self.level = self.level.min(self.plan.burst - drained.max(0.0)).max(self.level.min(0.0));
-        let own = if self.plan.rate > 0.0 { self.own_then } else { f64::from(self.out) };
+        let own = if self.plan.rate > 0.0 { self.own_then } else { self.held() };
         if total > 0.0 {
             self.share = mix(self.share, (own / total).min(1.0), SHARE_WEIGHT);
         }
@@ -198,7 +217,7 @@
             meter_period > 0.0 && self.level >= units && chance * asked <= (self.level - units) * ROOM.1
         };
         let open_ok = self.plan.open_limit == 0 || {
-            let (limit, own) = (f64::from(self.plan.open_limit), f64::from(self.out));
+            let (limit, own) = (f64::from(self.plan.open_limit), self.held());
             // What the others have out follows from their use and the latency (Little's law): one attempt at
             // each of many gateways is beyond the cap, above all when answers slow down.
             let others = if self.plan.rate > 0.0 { self.others(now) * held } else { 0.0 };
@@ -211,7 +230,7 @@
 /// Failures of late, from 0 to 1, and when that was reckoned; half forgotten in a while, so that what failed
 /// is tried again. By server and class, as one class may fail where the others are served and their answers
 /// clear nothing; by zone for connections, as each gateway would else find a cut out server by server.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Default, Serialize, Deserialize)]
 struct Sick(f64, Time);
 
 impl Sick {
@@ -228,6 +247,7 @@
 }
 
 /// An attempt that its server has not answered.
+#[derive(Clone)]
 struct Out {
     id: RequestId,
     attempt: AttemptNo,
@@ -250,10 +270,13 @@
     }
 }
 
-#[derive(Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 struct Server {
     info: ServerInfo,
+    #[serde(skip)]
     out: Vec<Out>,
+    /// Attempts that another process of this gateway has out here.
+    elsewhere: u32,
     last_answer: Time,
     /// Latency against what its class takes on average over all servers; none: like its kind's.
     slow: f64,
@@ -292,6 +315,11 @@
         }
     }
 
+    /// Attempts out from this gateway.
+    fn held(&self) -> f64 {
+        self.out.len() as f64 + f64::from(self.elsewhere)
+    }
+
     /// Size against the mean of all servers.
     fn size(&self, mean: f64) -> f64 {
         (self.info.capacity / mean).clamp(0.1, 10.0)
@@ -352,6 +380,7 @@
 }
 
 /// One priority of formula (4): a class under a plan, inside the quota or beyond it.
+#[derive(Clone, Serialize, Deserialize)]
 struct Priority {
     worth: f64,
     arrived: f64,
@@ -360,7 +389,7 @@
     r: f64,
 }
 
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Default, Serialize, Deserialize)]
 struct Sample {
     span: f64,
     count: f64,
@@ -370,6 +399,7 @@
 }
 
 /// Overload detection, allocation and throttling (Kasera IV-B2, IV-C, IV-D).
+#[derive(Clone, Serialize, Deserialize)]
 struct Shedder {
     f: f64,
     alpha_thresh: Option<f64>,
@@ -379,6 +409,7 @@
     quiet: f64,
     /// Indexed by (plan, class, beyond).
     priorities: Vec<Priority>,
+    #[serde(skip)]
     order: Vec<usize>,
 }
 
@@ -487,11 +518,28 @@
     }
 }
 
+/// What a gateway's next process must know of this one, to count nothing twice and to learn nothing anew.
+#[derive(Clone, Serialize, Deserialize)]
+pub struct Memory {
+    started: Option<Time>,
+    servers: BTreeMap<ServerId, Server>,
+    disabled: BTreeMap<ServerId, Time>,
+    customers: BTreeMap<CustomerId, Customer>,
+    shedder: Shedder,
+    /// Mean units, mean latency and the longest wait of each class.
+    classes: Vec<(f64, f64, f64)>,
+    mean_out: f64,
+    sends: f64,
+    retries: f64,
+}
+
 /// One gateway's decisions.
 pub struct Gateway {
     cfg: Settings,
     random: Random,
     now: Time,
+    running: bool,
+    /// When the gateway's life began, be it in another process.
     started: Option<Time>,
     servers: BTreeMap<ServerId, Server>,
     /// Servers that the operators leave out, and since when. Beside the list, which says nothing of them.
@@ -528,6 +576,7 @@
             waits: vec![0.0; cfg.classes.len()],
             random: Random(seed),
             now: Time(0),
+            running: false,
             started: None,
             servers: BTreeMap::new(),
             disabled: BTreeMap::new(),
@@ -544,11 +593,94 @@
         }
     }
 
+    /// What the next process of this gateway must know. What this one has out is out elsewhere for that one.
+    pub fn memory(&self) -> Memory {
+        let (mut servers, mut customers) = (self.servers.clone(), self.customers.clone());
+        servers.values_mut().for_each(|s| s.elsewhere += std::mem::take(&mut s.out).len() as u32);
+        customers.values_mut().for_each(|c| c.elsewhere += std::mem::take(&mut c.out));
+        let classes = self.units.iter().zip(&self.latency).zip(&self.waits);
+        Memory {
+            started: self.started,
+            servers,
+            disabled: self.disabled.clone(),
+            customers,
+            shedder: self.shedder.clone(),
+            classes: classes.map(|((&units, &latency), &wait)| (units, latency, wait)).collect(),
+            mean_out: self.mean_out,
+            sends: self.sends,
+            retries: self.retries,
+        }
+    }
+
+    /// Takes over from a living process of this gateway, before the first event. What does not fit the
+    /// settings is left.
+    pub fn remember(&mut self, memory: Memory) {
+        (self.started, self.servers, self.disabled) = (memory.started, memory.servers, memory.disabled);
+        for (id, customer) in memory.customers {
+            if let Some(plan) = self.cfg.plans.get(customer.number.0).cloned() {
+                self.customers.insert(id, Customer { plan, ..customer });
+            }
+        }
+        if memory.shedder.priorities.len() == self.shedder.priorities.len() {
+            let order = std::mem::take(&mut self.shedder.order);
+            self.shedder = Shedder { order, ..memory.shedder };
+        }
+        for (class, told) in memory.classes.into_iter().enumerate().take(self.cfg.classes.len()) {
+            (self.units[class], self.latency[class], self.waits[class]) = told;
+        }
+        (self.mean_out, self.sends, self.retries) = (memory.mean_out, memory.sends, memory.retries);
+    }
+
+    /// Follows what another process of this gateway does: the two keep the same accounts.
+    fn elsewhere(&mut self, news: Elsewhere) {
+        let now = self.now;
+        match news {
+            Elsewhere::Sent { customer, plan, gateways, units, server } => {
+                if let Some(c) = self.customer(customer, plan, gateways) {
+                    c.elsewhere += 1;
+                    // Beyond a quota only plans pass whose worth allows it; whether one did is not told here.
+                    c.take(now, sane(units), true);
+                }
+                if let Some(s) = self.servers.get_mut(&server) {
+                    (s.elsewhere, s.owed) = (s.elsewhere + 1, false);
+                    s.cold_tokens -= if s.warmth(now, &self.cfg) < 1.0 { 1.0 } else { 0.0 };
+                }
+                self.sends += 1.0;
+            }
+            Elsewhere::Ended { customer, server, answered } => {
+                let fewer = |held: &mut u32| *held = held.saturating_sub(1);
+                self.customers.entry(customer).and_modify(|c| fewer(&mut c.elsewhere));
+                if let Some(s) = self.servers.get_mut(&server) {
+                    fewer(&mut s.elsewhere);
+                    if answered {
+                        s.last_answer = now;
+                        s.answers.add(now, 1.0);
+                    }
+                }
+            }
+            Elsewhere::Gone => {
+                self.customers.values_mut().for_each(|c| c.elsewhere = 0);
+                self.servers.values_mut().for_each(|s| s.elsewhere = 0);
+            }
+        }
+    }
+
+    /// A customer's account as of now; `None` if there is no such plan.
+    fn customer(&mut self, id: CustomerId, number: PlanId, gateways: u32) -> Option<&mut Customer> {
+        let plan = self.cfg.plans.get(number.0)?;
+        let (now, meter) = (self.now, self.cfg.meter_period.as_secs_f64());
+        let life = now.since(self.started.unwrap_or(now));
+        let fresh = || Customer { number, ..Customer::new(plan.clone(), gateways, now, life, meter) };
+        let customer = self.customers.entry(id).or_insert_with(fresh);
+        customer.refill(now, meter, self.cfg.max_units);
+        Some(customer)
+    }
+
     /// Takes one event in and appends what is to be done about it.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
-        if self.started.is_none() {
-            self.started = Some(self.now);
+        if !std::mem::replace(&mut self.running, true) {
+            self.started.get_or_insert(self.now);
             actions.push(Action::Timer { at: self.now.after_secs(STEP), token: Token(TOKEN_STEP) });
             self.subscribe = self.cfg.discovery == Discovery::Ask;
         }
@@ -567,6 +699,7 @@
                 self.disabled.entry(server).or_insert(self.now);
             }
             Event::Enabled(server) => self.enable(server),
+            Event::Elsewhere(news) => self.elsewhere(news),
             Event::Timer(Token(TOKEN_STEP)) => self.step(actions),
             Event::Timer(Token(token)) => {
                 let Ok(id) = u32::try_from(token >> 2).map(RequestId) else { return };
@@ -595,8 +728,8 @@
             let fresh = |info: ServerInfo| Server { cold_tokens: part, ..Server::new(info, now) };
             let server = self.servers.entry(info.id).or_insert_with(|| fresh(info.clone()));
             if restarted {
-                let (out, owed) = (std::mem::take(&mut server.out), server.owed);
-                *server = Server { out, owed, ..fresh(info) };
+                let (out, elsewhere, owed) = (std::mem::take(&mut server.out), server.elsewhere, server.owed);
+                *server = Server { out, elsewhere, owed, ..fresh(info) };
             } else {
                 server.info = info;
             }
@@ -610,8 +743,8 @@
         if let Some(server) = self.servers.get_mut(&id) {
             let (out, info) = (std::mem::take(&mut server.out), server.info.clone());
             let back = info.started.is_none_or(|started| started < since).then_some(now);
-            *server =
-                Server { out, back, owed: true, cold_tokens: self.random.next(), ..Server::new(info, now) };
+            let (elsewhere, cold_tokens) = (server.elsewhere, self.random.next());
+            *server = Server { out, elsewhere, back, owed: true, cold_tokens, ..Server::new(info, now) };
         }
     }
 
@@ -632,22 +765,20 @@
         let units = if new.units.is_finite() && new.units > 0.0 { new.units } else { 1.0 };
         self.units[new.class.0] = mix(self.units[new.class.0], units, LATENCY_WEIGHT);
         let meter = self.cfg.meter_period.as_secs_f64();
-        let life = now.since(self.started.unwrap_or(now));
-        let fresh = || Customer::new(plan.clone(), new.gateways, now, life, meter);
-        let most_worth = self.most_worth();
-        let customer = self.customers.entry(new.customer).or_insert_with(fresh);
-        customer.refill(now, meter, self.cfg.max_units);
-        let held = self.latency[new.class.0] / self.units[new.class.0].max(1e-6);
+        let (most_worth, chance, latency) =
+            (self.most_worth(), self.random.next(), self.latency[new.class.0]);
+        let held = latency / self.units[new.class.0].max(1e-6);
+        let Some(customer) = self.customer(new.customer, new.plan, new.gateways) else { return };
         // Departure: a customer's last units are left to the dearer class, as worth decides under load too.
         // Hurts the cheaper class; the least slice's store, when full, lets it in all the same.
         let dearer = units * most_worth / sane(class.worth).max(1e-9);
         let needs = dearer.min(plan.burst / customer.gateways).max(units);
-        let inside = customer.inside(now, needs, meter, held, self.random.next());
+        let inside = customer.inside(now, needs, meter, held, chance);
         customer.asked.add(now, units);
         // The ceiling is kept alone: an own part of it, empty at the start of each life.
         let capped = plan.ceiling_rate > 0.0 && customer.ceiling < units;
         if capped || !(inside || plan.over_worth > plan.over_cost) {
-            let wait = customer.wait(if capped { units } else { needs }, capped, self.latency[new.class.0]);
+            let wait = customer.wait(if capped { units } else { needs }, capped, latency);
             return self.refuse(id, wait.min(self.soon(new.class.0)), actions);
         }
         let priority = (new.plan.0 * self.cfg.classes.len() + new.class.0) * 2 + usize::from(!inside);
@@ -671,12 +802,7 @@
             return self.refuse(id, self.soon(new.class.0), actions);
         };
         if let Some(c) = self.customers.get_mut(&new.customer) {
-            c.ceiling -= units;
-            if inside {
-                c.store -= units.min(c.store);
-                c.level -= units;
-            }
-            c.own.add(now, units);
+            c.take(now, units, inside);
         }
         self.retries = (self.retries + RETRY.0).min(RETRY.1);
         self.requests.insert(id, request);
@@ -754,7 +880,8 @@
         let (mut out, mut rate, mut size) = (0.0, 0.0, 0.0);
         for s in self.usable() {
             // What is lost is no work, and would keep room at the others for as long as its deadline is away.
-            out += s.out.iter().filter(|o| !o.lost(self.now, LOST.1)).count() as f64;
+            let here = s.out.iter().filter(|o| !o.lost(self.now, LOST.1)).count();
+            out += here as f64 + f64::from(s.elsewhere);
             rate += s.answers.get(self.now);
             size += s.size(mean_size);
         }
@@ -783,7 +910,7 @@
             {
                 continue;
             }
-            let (size, warmth, out) = (s.size(mean_size), s.warmth(now, &self.cfg), s.out.len() as f64);
+            let (size, warmth, out) = (s.size(mean_size), s.warmth(now, &self.cfg), s.held());
             if out >= (horizon * s.answers.get(now)).max(least * size).max(OUT_OWN)
                 || (warmth < 1.0 && !s.takes_cold(now, warm_rate * size * warmth, &self.cfg))
             {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -667,3 +667,51 @@
     let warm = share(&mut door, 400);
     assert!(warm > 0.25, "{warm}: the list has told of no restart");
 }
+
+/// A process that replaces another one goes on with its accounts, and the two keep them together while both live.
+#[test]
+fn an_upgrade_counts_nothing_twice_and_forgets_nothing() {
+    let plan =
+        Plan { rate: 0.001, burst: 12.0, price: 1.0, over_cost: 1.0, open_limit: 8, ..Plan::default() };
+    let cfg = settings(vec![class(Effect::Safe, 1.0)], vec![plan]);
+    let cfg = Settings { gateways: 1, meter_period: ms(0), ..cfg };
+    let mut old = Door::new(cfg.clone(), 2);
+    old.spread = 1;
+    old.event(Event::Disabled(ServerId(0)));
+    for _ in 0..4 {
+        assert_eq!(old.serve(0, 0, 7, 10), Some(ServerId(1)));
+    }
+    let (id, actions) = old.request(0, 0, 7);
+    assert!(sent(&actions).is_some(), "one is out while the next process starts");
+
+    let memory = serde_json::to_string(&old.gateway.memory()).expect("written");
+    let mut new = Door::new(cfg.clone(), 0);
+    new.gateway = Gateway::new(cfg, 43);
+    new.gateway.remember(serde_json::from_str(&memory).expect("read"));
+    (new.now, new.next, new.spread) = (old.now, 1000, 1);
+    new.timers.clear();
+    new.list(Scope::Full, (0..2).map(server).collect());
+    assert!(!new.timers.is_empty(), "its clockwork runs");
+    let told = |new: &mut Door, news| drop(new.event(Event::Elsewhere(news)));
+    let (customer, server) = (CustomerId(7), ServerId(1));
+    // Five of the twelve units are taken; the old one takes five more, then each is refused at the end of them.
+    old.settle(id, 0, Status::Ok, 10);
+    told(&mut new, Elsewhere::Ended { customer, server, answered: true });
+    for _ in 0..5 {
+        assert!(old.serve(0, 0, 7, 10).is_some());
+        told(&mut new, Elsewhere::Sent { customer, plan: PlanId(0), gateways: 1, units: 1.0, server });
+        told(&mut new, Elsewhere::Ended { customer, server, answered: true });
+    }
+    let served: Vec<_> = (0..4).map(|_| new.serve(0, 0, 7, 10)).collect();
+    assert_eq!(served, [Some(ServerId(1)), Some(ServerId(1)), None, None], "left out, and two units left");
+    // What the other has out counts against the customer's attempts at once, until it is gone.
+    for _ in 0..9 {
+        told(
+            &mut new,
+            Elsewhere::Sent { customer: CustomerId(8), plan: PlanId(0), gateways: 1, units: 0.0, server },
+        );
+    }
+    assert_eq!(new.serve(0, 0, 8, 10), None);
+    told(&mut new, Elsewhere::Gone);
+    assert_eq!(new.serve(0, 0, 8, 10), Some(ServerId(1)));
+}
