--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -184,6 +184,7 @@
                 units: m.size_units,
                 gateways: m.n_entries as u32,
                 repeat: m.bitmap & REPEAT != 0,
+                flows: false,
             };
             (m.gateway_id, Incoming::Event(lib::Event::Request(request)))
         }
@@ -200,6 +201,7 @@
                 finished: m.over,
                 metered: (m.quota_use > 0).then(|| (m.quota_use - 1) as f64 / 100.0),
                 true_units: (m.true_units > 0.0).then_some(m.true_units),
+                last: false,
                 report: lib::LoadReport {
                     queue: m.server_stats.get("queue").copied(),
                     utilization: m.server_stats.get("util").copied(),
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -12,6 +12,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::pin::pin;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::sync::{oneshot, Notify};
@@ -34,6 +35,8 @@
 struct Attempt {
     server: ServerId,
     sent: Time,
+    /// When it is given up; not while the request's body is on its way, nor once its answer has begun.
+    until: Option<Time>,
     /// While it is out.
     task: Option<AbortHandle>,
 }
@@ -42,7 +45,9 @@
 struct Open {
     request: NewRequest,
     order: Rc<Order>,
-    deadline: Time,
+    /// When its final answer must be out; not known while its body is on its way.
+    deadline: Option<Time>,
+    arrived: Time,
     /// Until the final answer.
     answer: Option<oneshot::Sender<Answer>>,
     attempts: Vec<Attempt>,
@@ -123,10 +128,18 @@
         request.id = id;
         let (answer, answered) = oneshot::channel();
         let deadline = request.deadline;
-        let (order, attempts) = (Rc::new(order), Vec::new());
-        let open = Open { request: request.clone(), order, deadline, answer: Some(answer), attempts };
+        let open = Open {
+            request: request.clone(),
+            order: Rc::new(order),
+            deadline: (!request.flows).then_some(deadline),
+            arrived: self.clock.now(),
+            answer: Some(answer),
+            attempts: Vec::new(),
+        };
         self.open.borrow_mut().insert(id, open);
-        self.set_timer(deadline, Due::Answer(id));
+        if !request.flows {
+            self.set_timer(deadline, Due::Answer(id));
+        }
         self.post(Event::Request(request));
         (id, answered)
     }
@@ -220,23 +233,33 @@
         let mut all = self.open.borrow_mut();
         let Some(open) = all.get_mut(&id) else { return };
         let attempt = AttemptNo(open.attempts.len() as u32);
-        let until = if until == Time(0) { open.deadline } else { until.min(open.deadline) };
-        let moot = open.answer.is_none() || until <= now || open.attempts.len() >= self.max_attempts;
+        let until =
+            open.deadline.map(|deadline| if until == Time(0) { deadline } else { until.min(deadline) });
+        let late = until.is_some_and(|until| until <= now);
+        let moot = open.answer.is_none() || late || open.attempts.len() >= self.max_attempts;
         let never_sent = if moot { Some(Status::Moot) } else { None };
         let peer = self.upstream.peer(server);
         let task = match (never_sent, peer, self.me.upgrade()) {
             (None, Some(peer), Some(engine)) => {
                 let order = open.order.clone();
                 let task = spawn_local(async move {
-                    let ending = engine.upstream.attempt(peer, &order, until).await;
-                    engine.ended(id, attempt, ending);
+                    let begun = |served| engine.stream_started(id, attempt, served);
+                    let mut ending = pin!(engine.upstream.attempt(peer, &order, until, begun));
+                    if let Some(flow) = order.body.flow() {
+                        tokio::select! {
+                            biased;
+                            () = flow.all() => engine.written(id, attempt),
+                            ending = ending.as_mut() => return engine.ended(id, attempt, ending),
+                        }
+                    }
+                    engine.ended(id, attempt, ending.await);
                 });
                 Some(task.abort_handle())
             }
             _ => None,
         };
         let out = task.is_some();
-        open.attempts.push(Attempt { server, sent: now, task });
+        open.attempts.push(Attempt { server, sent: now, until, task });
         self.links.sent(|| Elsewhere::Sent {
             customer: open.request.customer,
             plan: open.request.plan,
@@ -246,12 +269,42 @@
         });
         drop(all);
         if out {
-            self.set_timer(until, Due::GiveUp(id, attempt));
+            if let Some(until) = until {
+                self.set_timer(until, Due::GiveUp(id, attempt));
+            }
         } else {
             self.over(id, attempt, now, never_sent.unwrap_or(Status::ConnectFailed).into());
         }
     }
 
+    /// A server has the last of a body that was passed on. Until now the client was at it, so its time begins.
+    fn written(&self, id: RequestId, attempt: AttemptNo) {
+        let now = self.clock.now();
+        let mut all = self.open.borrow_mut();
+        let Some(open) = all.get_mut(&id) else { return };
+        let took = Duration::from_nanos(now.0.saturating_sub(open.arrived.0));
+        let deadline = open.request.deadline.after(took);
+        open.deadline = Some(deadline);
+        if let Some(attempt) = open.attempts.get_mut(attempt.0 as usize) {
+            (attempt.sent, attempt.until) = (now, Some(deadline));
+        }
+        drop(all);
+        self.set_timer(deadline, Due::Answer(id));
+        self.set_timer(deadline, Due::GiveUp(id, attempt));
+        self.post(Event::Written { id, attempt, deadline });
+    }
+
+    /// A long answer has begun: it is the client's, and no time bounds the attempt any more.
+    fn stream_started(&self, id: RequestId, attempt: AttemptNo, served: Served) {
+        if let Some(open) = self.open.borrow_mut().get_mut(&id) {
+            if let Some(attempt) = open.attempts.get_mut(attempt.0 as usize) {
+                attempt.until = None;
+            }
+        }
+        self.post(Event::StreamStarted { id, attempt });
+        self.answer(id, Answer::Served(served));
+    }
+
     /// Gives an attempt up, if it is still out, by closing its connection.
     fn stop(&self, id: RequestId, attempt: AttemptNo, status: Status) {
         if let Some((sent, task)) = self.take(id, attempt) {
@@ -263,6 +316,10 @@
     /// An attempt has ended by itself. The first whole answer is the client's.
     fn ended(&self, id: RequestId, attempt: AttemptNo, mut ending: Ending) {
         if let Some((sent, _)) = self.take(id, attempt) {
+            if ending.status == Status::Cancelled {
+                // The client left in the middle of its answer.
+                self.post(Event::Departed(id));
+            }
             if let Some(served) = ending.served.take() {
                 self.answer(id, Answer::Served(served));
             }
@@ -279,7 +336,9 @@
 
     fn over(&self, id: RequestId, attempt: AttemptNo, sent: Time, ending: Ending) {
         let elapsed = Duration::from_nanos(self.clock.now().0.saturating_sub(sent.0));
+        let mut last = false;
         if let Some(open) = self.open.borrow().get(&id) {
+            last = open.order.body.flow().is_some_and(|flow| flow.spent());
             if let Some(Attempt { server, .. }) = open.attempts.get(attempt.0 as usize) {
                 let (customer, server) = (open.request.customer, *server);
                 let answered = ending.status == Status::Ok;
@@ -296,6 +355,7 @@
             metered: ending.metered,
             true_units: None,
             report: ending.report,
+            last,
         }));
     }
 
@@ -343,7 +403,15 @@
     fn fall_due(&self, due: Due) {
         match due {
             Due::Timer(token) => self.post(Event::Timer(token)),
-            Due::GiveUp(id, attempt) => self.stop(id, attempt, Status::TimedOut),
+            Due::GiveUp(id, attempt) => {
+                let open = self.open.borrow();
+                let until =
+                    open.get(&id).and_then(|o| o.attempts.get(attempt.0 as usize)).and_then(|a| a.until);
+                drop(open);
+                if until.is_some_and(|until| until <= self.clock.now()) {
+                    self.stop(id, attempt, Status::TimedOut);
+                }
+            }
             Due::Answer(id) => {
                 if self.answer(id, Answer::Overdue) {
                     self.post(Event::Departed(id));
@@ -364,6 +432,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::flow::Sendable;
     use cherrypulley::{ClassId, CustomerId, Lifecycle, PlanId, Scope, ServerInfo};
     use std::net::TcpListener;
     use tokio::runtime::{Builder, LocalOptions};
@@ -407,12 +476,14 @@
             units: 1.0,
             gateways: 1,
             repeat: false,
+            flows: false,
         };
         let order = Order {
             method: Default::default(),
             uri: Default::default(),
             headers: Default::default(),
-            body: Default::default(),
+            body: Sendable::Whole(Default::default()),
+            wait,
             over: Cell::new(false),
         };
         engine.arrive(request, order)
--- a/gateway/src/framing.rs
+++ b/gateway/src/framing.rs
@@ -11,10 +11,8 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
-    /// At most one length.
+    /// At most one length, or chunks.
     Plain,
-    /// In chunks. Where the next head begins is not followed, so nothing more is read from such a connection.
-    Chunked,
     /// Several lengths, or one beside a coding.
     Ambiguous,
 }
@@ -22,6 +20,11 @@
 enum Place {
     Head,
     Body(u64),
+    ChunkSize,
+    /// With the end of its line.
+    Chunk(u64),
+    Trailers,
+    /// Nothing more can be read from such a connection.
     Lost,
 }
 
@@ -60,20 +63,30 @@
 
     /// Whether a head has begun and not ended.
     pub fn unfinished(&self) -> bool {
-        self.begun || !self.line.is_empty()
+        matches!(self.place, Place::Head) && (self.begun || !self.line.is_empty())
+    }
+
+    /// Whether a body has begun and not ended.
+    pub fn in_body(&self) -> bool {
+        !matches!(self.place, Place::Head)
     }
 
     pub fn read(&mut self, mut bytes: &[u8]) {
         while !bytes.is_empty() {
             match self.place {
                 Place::Lost => return,
-                Place::Body(left) => {
+                Place::Body(left) | Place::Chunk(left) => {
                     let here = bytes.len().min(usize::try_from(left).unwrap_or(usize::MAX));
                     bytes = &bytes[here..];
                     let left = left - here as u64;
-                    self.place = if left == 0 { Place::Head } else { Place::Body(left) };
+                    self.place = match self.place {
+                        Place::Body(_) if left > 0 => Place::Body(left),
+                        Place::Body(_) => Place::Head,
+                        _ if left > 0 => Place::Chunk(left),
+                        _ => Place::ChunkSize,
+                    };
                 }
-                Place::Head => {
+                Place::Head | Place::ChunkSize | Place::Trailers => {
                     let end = bytes.iter().position(|&b| b == b'\n');
                     let (part, rest) = bytes.split_at(end.map_or(bytes.len(), |end| end + 1));
                     let room = LINE - self.line.len();
@@ -90,6 +103,27 @@
 
     fn line_ended(&mut self) {
         let line = self.line.trim_ascii_end();
+        match self.place {
+            Place::ChunkSize => {
+                // What follows the digits is an extension.
+                let digits = line.split(|b| !b.is_ascii_hexdigit()).next().unwrap_or_default();
+                let size =
+                    std::str::from_utf8(digits).ok().and_then(|text| u64::from_str_radix(text, 16).ok());
+                self.place = match size {
+                    Some(0) => Place::Trailers,
+                    Some(size) => Place::Chunk(size.saturating_add(2)),
+                    None => Place::Lost,
+                };
+                return;
+            }
+            Place::Trailers => {
+                if line.is_empty() {
+                    self.place = Place::Head;
+                }
+                return;
+            }
+            _ => {}
+        }
         if line.is_empty() {
             // Empty lines ahead of a request are passed over.
             if self.begun {
@@ -110,7 +144,7 @@
 
     fn head_ended(&mut self) {
         let (framing, place) = match (self.lengths, self.coded, self.length) {
-            (0, true, _) => (Framing::Chunked, Place::Lost),
+            (0, true, _) => (Framing::Plain, Place::ChunkSize),
             (0, false, _) | (1, false, Some(0)) => (Framing::Plain, Place::Head),
             (1, false, Some(length)) => (Framing::Plain, Place::Body(length)),
             _ => (Framing::Ambiguous, Place::Lost),
@@ -144,8 +178,17 @@
             ),
             (
                 format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n{hidden}"),
-                vec![Chunked],
+                vec![Plain, Plain],
+            ),
+            (
+                format!(
+                    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n18;a=\"{}\"\r\n{hidden}\r\n\
+                     2\r\n\n\n\r\n00\r\nA: b\r\n\r\n{hidden}",
+                    "x".repeat(LINE)
+                ),
+                vec![Plain, Plain],
             ),
+            (format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n\r\n{hidden}"), vec![Plain]),
             (
                 format!(
                     "POST / HTTP/1.1\r\nTRANSFER-ENCODING: x\r\nContent-Length: 3\r\n\r\n0\r\n\r\n{hidden}"
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -1,14 +1,14 @@
 //! Clients' connections: requests read and checked, readiness, and final answers.
 
 use crate::engine::{Answer, Engine};
+use crate::flow::{Flow, Pace, Passed, Sendable, Words, SHORT};
 use crate::framing::{Framing, Heads};
 use crate::log::log;
 use crate::socket::{Io, Socket, Watch};
-use crate::upstream::{Order, EXPIRES_IN, MAX_BODY};
-use cherrypulley::{ClassId, CustomerId, Effect, NewRequest, PlanId, RequestId, Time};
+use crate::upstream::{more, Order, EXPIRES_IN, MAX_BODY};
+use cherrypulley::{ClassId, CustomerId, Effect, NewRequest, PlanId, RequestId};
 use cherrypulley_drill::Site;
 use futures_util::FutureExt;
-use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use hyper::server::conn::http1;
@@ -17,6 +17,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
+use std::io;
 use std::panic::AssertUnwindSafe;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
@@ -25,15 +26,13 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, sleep_until, timeout};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at};
 
 /// An answer is out this long before the client stops waiting: its way back, and what a busy core adds.
 const MARGIN: Duration = Duration::from_millis(10);
 /// Bounds of what a client may take its time with, in each case so that whoever says nothing, or not all, has an
 /// error or a close within three seconds: a head (the first one from the start of its connection) ...
 const HEAD_MOST: Duration = Duration::from_millis(2500);
-/// ... its body, counted from the same time ...
-const BODY_MOST: Duration = Duration::from_millis(2700);
 /// ... and the time between two requests.
 const IDLE_MOST: Duration = Duration::from_millis(2500);
 /// An answer that the client does not read: it is larger than what the system takes for a connection, or many of
@@ -92,8 +91,8 @@
     /// No request is open, since then.
     Idle(Instant),
     Open,
-    /// An answer goes out, but is not yet all with the system, since then.
-    Answering(Instant),
+    /// An answer goes out, but is not yet all with the system; since when the client takes nothing of it.
+    Answering(Option<Instant>),
 }
 
 /// A client's connection.
@@ -149,7 +148,7 @@
     fn due(&self) -> Option<Instant> {
         match (self.phase.get(), self.head_since.get()) {
             (Phase::Open, _) => None,
-            (Phase::Answering(since), _) => Some(since + READ_MOST),
+            (Phase::Answering(blocked), _) => blocked.map(|since| since + READ_MOST),
             (Phase::Idle(_), Some(head)) if self.asked.get() => {
                 let told = self.told.get().map(|told| told + LAST_HEAD_MOST);
                 told.into_iter().chain([head + HEAD_MOST]).min()
@@ -181,6 +180,12 @@
         self.idle_since().is_none()
     }
 
+    fn blocked(&self, blocked: bool) {
+        if let Phase::Answering(since) = self.phase.get() {
+            self.phase.set(Phase::Answering(blocked.then(|| since.unwrap_or_else(Instant::now))));
+        }
+    }
+
     fn flushed(&self) {
         if matches!(self.phase.get(), Phase::Answering(_)) && !self.words_left.get() {
             self.phase.set(Phase::Idle(Instant::now()));
@@ -189,19 +194,16 @@
 }
 
 /// An answer's body, which tells when hyper has taken all of it.
-struct Words {
-    words: Full<Bytes>,
+struct Watched {
+    words: Words,
     client: Rc<Client>,
 }
 
-impl Body for Words {
+impl Body for Watched {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = io::Error;
 
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         Pin::new(&mut self.words).poll_frame(cx)
     }
 
@@ -214,7 +216,7 @@
     }
 }
 
-impl Drop for Words {
+impl Drop for Watched {
     fn drop(&mut self) {
         self.client.words_left.set(false);
     }
@@ -323,7 +325,7 @@
     async fn serve(self: &Rc<Self>, client: &Rc<Client>, stream: TcpStream) {
         let Ok(socket) = Socket::new(stream, client.clone()) else { return };
         let word = self.converse(client, &socket).await;
-        let unread = client.rejected.get() || word.is_some();
+        let unread = client.rejected.get() || word.is_some() || client.heads.borrow().in_body();
         socket.end(&word.map(|(status, why)| last_word(status, why)).unwrap_or_default());
         if unread {
             socket.linger().await;
@@ -340,11 +342,10 @@
         let service = service_fn(|request| {
             let (front, client) = (self.clone(), client.clone());
             async move {
-                let begun = client.idle_since().filter(|_| !client.asked.replace(true));
+                client.asked.set(true);
                 client.phase.set(Phase::Open);
-                let body_until = begun.unwrap_or_else(Instant::now) + BODY_MOST;
                 let framing = client.heads.borrow_mut().next().unwrap_or(Framing::Ambiguous);
-                let responding = front.respond(request, framing, body_until);
+                let responding = front.respond(request, framing);
                 let answered = AssertUnwindSafe(responding).catch_unwind().await;
                 // The panic's own line is on standard error.
                 let answer =
@@ -354,14 +355,14 @@
                 if front.service.get() != Service::Open
                     || front.crowded.get()
                     || client.told.get().is_some()
-                    || framing != Framing::Plain
+                    || framing == Framing::Ambiguous
                 {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
-                client.phase.set(Phase::Answering(Instant::now()));
+                client.phase.set(Phase::Answering(None));
                 client.words_left.set(true);
                 front.thin();
-                Ok::<_, Infallible>(response.map(|words| Words { words, client }))
+                Ok::<_, Infallible>(response.map(|words| Watched { words, client }))
             }
         });
         let began = Instant::now();
@@ -496,9 +497,7 @@
         &self,
         request: Request<Incoming>,
         framing: Framing,
-        body_until: Instant,
-    ) -> Result<Response<Full<Bytes>>, Rejected> {
-        let arrived = self.engine.clock.now();
+    ) -> Result<Response<Words>, Rejected> {
         if framing == Framing::Ambiguous {
             return Err(bad("more than one length, or one beside a transfer-encoding"));
         }
@@ -512,12 +511,21 @@
                 _ => Err(bad("/up takes GET")),
             };
         }
-        let (request, order, _open) = self.read(arrived, request, body_until).await?;
+        let (request, order, _open) = self.read(request).await?;
+        let flow = order.body.flow().cloned();
         let (id, answered) = self.engine.arrive(request, order);
+        // Dropped with what is below it: whatever comes of the rest of a body, the decisions hear that it is over.
         let mut owed = Owed { engine: &self.engine, id: Some(id) };
-        let answer = answered.await.unwrap_or(Answer::Broken);
+        let answer = match flow {
+            None => answered.await,
+            Some(flow) => tokio::select! {
+                biased;
+                answer = answered => answer,
+                rejected = broken_off(&flow) => return Err(rejected),
+            },
+        };
         owed.id = None;
-        Ok(worded(answer))
+        Ok(worded(answer.unwrap_or(Answer::Broken)))
     }
 
     /// Takes an id for a request that is open; `None` when it is another's, which goes on undisturbed.
@@ -526,12 +534,7 @@
     }
 
     /// Checks a request and reads it whole.
-    async fn read(
-        &self,
-        arrived: Time,
-        request: Request<Incoming>,
-        body_until: Instant,
-    ) -> Result<(NewRequest, Order, OpenId<'_>), Rejected> {
+    async fn read(&self, request: Request<Incoming>) -> Result<(NewRequest, Order, OpenId<'_>), Rejected> {
         let (head, body) = request.into_parts();
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
         let first = head.uri.path().split('/').nth(1).unwrap_or_default();
@@ -566,26 +569,17 @@
         let open = self.open(id).ok_or_else(|| bad(format!("{TRACE_ID} is that of an open request")))?;
         let uri = head.uri.path_and_query().cloned().map_or_else(Default::default, Into::into);
 
-        let too_long = || (StatusCode::PAYLOAD_TOO_LARGE, format!("more than {MAX_BODY} bytes"));
-        let body = if body.is_end_stream() {
-            Bytes::new()
-        } else if body.size_hint().lower() > MAX_BODY as u64 {
+        if body.size_hint().lower() > MAX_BODY as u64 {
             return Err(too_long());
-        } else {
-            // Beyond its wait nobody expects an answer, and a client that has vanished says nothing.
-            let within = wait.min(body_until.saturating_duration_since(Instant::now()));
-            match timeout(within, Limited::new(body, MAX_BODY).collect()).await {
-                Ok(Ok(whole)) => whole.to_bytes(),
-                Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => return Err(too_long()),
-                Ok(Err(_)) => return Err(bad("a body that is cut off")),
-                Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come in time".into())),
-            }
-        };
+        }
+        let body = begin(body).await?;
+        // The time of a request counts from its last byte, and that of one whose body is still to come from then.
+        let (arrived, flows) = (self.engine.clock.now(), body.flow().is_some());
         let headers = [TRACE_ID, IDEMPOTENCY_KEY, CONTENT_TYPE]
             .into_iter()
             .filter_map(|name| head.headers.get(&name).cloned().map(|value| (name, value)))
             .collect();
-        let order = Order { method, uri, headers, body, over: Cell::new(false) };
+        let order = Order { method, uri, headers, body, wait, over: Cell::new(false) };
         let request = NewRequest {
             // Numbered on arrival.
             id: RequestId(0),
@@ -596,6 +590,7 @@
             units,
             gateways,
             repeat: head.headers.get(REPEAT).is_some_and(|mark| mark == "1"),
+            flows,
         };
         Ok((request, order, open))
     }
@@ -626,6 +621,51 @@
     }
 }
 
+fn too_long() -> Rejected {
+    (StatusCode::PAYLOAD_TOO_LARGE, format!("more than {MAX_BODY} bytes"))
+}
+
+fn late() -> Rejected {
+    (StatusCode::REQUEST_TIMEOUT, "the body did not come in time".into())
+}
+
+/// Reads a body whole, or the beginning of a long one. A client that has vanished says nothing.
+async fn begin(mut body: Incoming) -> Result<Sendable, Rejected> {
+    let length = body.size_hint().exact();
+    let mut pace = Pace::waiting();
+    let mut come = Vec::new();
+    while !body.is_end_stream() {
+        let due = pace.due().unwrap_or_else(Instant::now);
+        match timeout_at(due.into(), more(&mut body)).await {
+            Ok(Ok(Some(data))) => {
+                come.extend_from_slice(&data);
+                pace.brought_some(data.len());
+            }
+            Ok(Ok(None)) => break,
+            Ok(Err(_)) => return Err(bad("a body that is cut off")),
+            Err(_) => return Err(late()),
+        }
+        if come.len() > SHORT {
+            return Ok(Sendable::Flow(Flow::new(come.into(), body, length)));
+        }
+    }
+    Ok(Sendable::Whole(come.into()))
+}
+
+/// Waits until a body that is passed on is broken off; for good if it is not.
+async fn broken_off(flow: &Flow) -> Rejected {
+    loop {
+        match (flow.passed(), flow.due()) {
+            (Passed::Broken, _) => return bad("a body that is cut off"),
+            (Passed::TooLong, _) => return too_long(),
+            (Passed::All, _) | (_, None) => return std::future::pending().await,
+            (_, Some(due)) if due > Instant::now() => flow.changed(due).await,
+            _ if flow.wants_more() => return late(),
+            _ => return (StatusCode::GATEWAY_TIMEOUT, "the body was not taken in time".into()),
+        }
+    }
+}
+
 /// The id of an open request, given back when the request is over.
 struct OpenId<'a> {
     ids: &'a RefCell<HashSet<u64>>,
@@ -675,10 +715,10 @@
     Duration::try_from_secs_f64(text.parse().ok()?).ok().filter(|wait| !wait.is_zero())
 }
 
-fn worded(answer: Answer) -> Response<Full<Bytes>> {
+fn worded(answer: Answer) -> Response<Words> {
     match answer {
         Answer::Served(served) => {
-            let mut response = Response::new(Full::new(served.body));
+            let mut response = Response::new(served.body);
             if let Some(content_type) = served.content_type {
                 response.headers_mut().insert(CONTENT_TYPE, content_type);
             }
@@ -697,8 +737,8 @@
     }
 }
 
-fn plain(status: StatusCode, line: &str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(format!("{line}\n"))));
+fn plain(status: StatusCode, line: &str) -> Response<Words> {
+    let mut response = Response::new(Words::from(Bytes::from(format!("{line}\n"))));
     *response.status_mut() = status;
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; charset=utf-8"));
     response
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -6,6 +6,7 @@
 mod console;
 mod discovery;
 mod engine;
+mod flow;
 mod framing;
 mod front;
 mod handover;
--- a/gateway/src/socket.rs
+++ b/gateway/src/socket.rs
@@ -13,7 +13,7 @@
 use tokio::time::timeout;
 
 /// Most that is taken from the system at once.
-const PIECE: usize = 8 << 10;
+const PIECE: usize = 16 << 10;
 /// A connection that ends with input unread is read on for this long and this far. Guards against the reset
 /// that closing it at once would send: it takes away the answer that the peer has not read yet.
 const LINGER: (Duration, usize) = (Duration::from_secs(1), 1 << 20);
@@ -26,6 +26,8 @@
     fn lets_out(&self) -> bool {
         true
     }
+    /// The system takes no more for now, as the peer reads nothing; or it takes some again.
+    fn blocked(&self, _: bool) {}
     /// All that hyper had to write is with the system.
     fn flushed(&self) {}
 }
@@ -108,7 +110,9 @@
             return Poll::Ready(Ok(all));
         }
         loop {
-            ready!(self.0.stream.poll_write_ready(cx))?;
+            let writable = self.0.stream.poll_write_ready(cx);
+            self.0.watch.blocked(writable.is_pending());
+            ready!(writable)?;
             match write(&self.0.stream) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 written => return Poll::Ready(written),
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -1,13 +1,14 @@
 //! Connections to servers, and attempts on them: what was sent, and how it ended.
 
 use crate::clock::Clock;
+use crate::flow::{Outgoing, Passed, Piece, Sendable, Words, SHORT};
 use crate::log::log;
 use crate::socket::{Io, Socket};
 use cherrypulley::{Lifecycle, LoadReport, Scope, ServerId, ServerInfo, Status, Time};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -16,11 +17,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
+use tokio::sync::mpsc::Sender;
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::timeout;
 
-/// Bodies hold at most this much, either way.
-pub const MAX_BODY: usize = 64 << 10;
+/// Bodies are at most this long, either way.
+pub const MAX_BODY: usize = 32 << 20;
 /// Share of the idle time that servers allow after which a connection is closed here: a request must not
 /// cross the server's closing, as it would end as a reset and may not be repeated.
 const IDLE_SHARE: f64 = 0.75;
@@ -45,10 +47,14 @@
 const MAX_HEAD: usize = 16 << 10;
 /// ... and so many lines.
 const MAX_HEADERS: usize = 64;
-/// An answer counts only when it has come whole: a refusal proves nothing before, and a 200 serves nobody. What
-/// follows the head has this long, which is ample for 64 KiB that a server has ready; a spoilt one may keep its
-/// connection open for good.
-const BODY_MOST: Duration = Duration::from_millis(250);
+/// A short answer counts only when it has come whole: a refusal proves nothing before, and a 200 serves nobody. One
+/// that does not go on for this long is spoilt: it may keep its connection open for good, and another attempt is
+/// possible while nothing has gone out.
+const SHORT_PAUSE: Duration = Duration::from_millis(500);
+/// An answer that does not say how long it is and is not whole after this time is taken for a long one.
+const HOLD: Duration = Duration::from_millis(150);
+/// A long answer has begun to go out, so a server that pauses is waited for for longer.
+const LONG_PAUSE: Duration = Duration::from_secs(10);
 /// The most that a customer's use can be, in percent: a hundred times its quota.
 const METER_MOST: f64 = 10_000.0;
 /// The longest queue, in requests, that a server can have.
@@ -56,12 +62,51 @@
 /// The largest share of its processor that one can say is busy: all of it, and some for noise.
 const UTIL_MOST: f64 = 1.5;
 
-/// Reads a body to its end; `None` when it is cut off, says that it is too long, or is.
+/// Reads a list of servers to its end; `None` when it is cut off or too long.
 pub async fn collect(body: Incoming) -> Option<Bytes> {
-    if body.size_hint().lower() > MAX_BODY as u64 {
-        return None;
+    Limited::new(body, SHORT).collect().await.ok().map(|whole| whole.to_bytes())
+}
+
+/// The next bytes of a body; `None` at its end.
+pub async fn more(body: &mut Incoming) -> hyper::Result<Option<Bytes>> {
+    while let Some(frame) = body.frame().await {
+        // Trailers are left: nobody asks for them.
+        if let Ok(data) = frame?.into_data() {
+            return Ok(Some(data));
+        }
+    }
+    Ok(None)
+}
+
+/// How much of an answer has come.
+enum Read {
+    Whole(Bytes),
+    /// So far.
+    Part(Bytes),
+    Spoilt,
+}
+
+/// Reads an answer that may turn out to be long.
+async fn read_short(body: &mut Incoming) -> Read {
+    let length = body.size_hint().exact();
+    if length.is_some_and(|length| length > SHORT as u64) {
+        return Read::Part(Bytes::new());
+    }
+    let hold = Instant::now() + HOLD;
+    let mut come = Vec::new();
+    loop {
+        let pause =
+            if length.is_some() { SHORT_PAUSE } else { hold.saturating_duration_since(Instant::now()) };
+        match timeout(pause, more(body)).await {
+            Ok(Ok(Some(data))) => come.extend_from_slice(&data),
+            Ok(Ok(None)) => return Read::Whole(come.into()),
+            Err(_) if length.is_none() => return Read::Part(come.into()),
+            Ok(Err(_)) | Err(_) => return Read::Spoilt,
+        }
+        if come.len() > SHORT {
+            return Read::Part(come.into());
+        }
     }
-    Limited::new(body, MAX_BODY).collect().await.ok().map(|whole| whole.to_bytes())
 }
 
 /// What every attempt of a request carries, unchanged from the client.
@@ -69,15 +114,24 @@
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: Sendable,
+    /// How long the client waits, from its last byte.
+    pub wait: Duration,
     /// Set with the final answer. Nothing is sent for the request after that, also where attempts that are
     /// still connecting may not be cancelled.
     pub over: Cell<bool>,
 }
 
-/// A server's whole 200 answer.
+impl Order {
+    /// How much of the body has been passed on; a short one goes out whole.
+    pub fn passed(&self) -> Passed {
+        self.body.flow().map_or(Passed::All, |flow| flow.passed())
+    }
+}
+
+/// A server's 200 answer: whole, or a long one that has begun.
 pub struct Served {
-    pub body: Bytes,
+    pub body: Words,
     pub content_type: Option<HeaderValue>,
 }
 
@@ -86,7 +140,7 @@
     pub status: Status,
     pub metered: Option<f64>,
     pub report: LoadReport,
-    /// With [`Status::Ok`] alone.
+    /// With [`Status::Ok`] alone, and when it has not begun to go out before.
     pub served: Option<Served>,
 }
 
@@ -98,7 +152,7 @@
 
 /// A connection. Dropping it closes it, which is how an attempt is given up.
 pub struct Link {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Outgoing>,
     socket: Rc<Socket<()>>,
     driver: AbortHandle,
     _counted: Option<Counted>,
@@ -136,7 +190,7 @@
         self.sender.ready().await.is_ok()
     }
 
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> hyper::Result<Response<Incoming>> {
+    pub async fn send(&mut self, request: Request<Outgoing>) -> hyper::Result<Response<Incoming>> {
         self.sender.send_request(request).await
     }
 }
@@ -328,9 +382,17 @@
         }
     }
 
-    /// One attempt, to be given up at `until` by dropping it.
-    pub async fn attempt(&self, peer: Peer, order: &Order, until: Time) -> Ending {
-        let mut request = Request::new(Full::new(order.body.clone()));
+    /// One attempt, to be given up at `until` by dropping it; `begun` is called with a long answer when it begins.
+    pub async fn attempt(
+        &self,
+        peer: Peer,
+        order: &Order,
+        until: Option<Time>,
+        begun: impl Fn(Served),
+    ) -> Ending {
+        // Passed on already: there is nothing left to send.
+        let Some(body) = Outgoing::of(&order.body) else { return Status::Moot.into() };
+        let mut request = Request::new(body);
         *request.method_mut() = order.method.clone();
         *request.uri_mut() = order.uri.clone();
         *request.headers_mut() = order.headers.clone();
@@ -343,11 +405,15 @@
                 None => {
                     if self.open.get() >= self.budget.get() && !self.close_one_idle() {
                         // Want of descriptors here, and nothing that the server has done.
+                        request.into_body().put_back();
                         return Status::Moot.into();
                     }
                     match self.connect(&peer).await {
                         Ok(link) => (link, None),
-                        Err(_) => return Status::ConnectFailed.into(),
+                        Err(_) => {
+                            request.into_body().put_back();
+                            return Status::ConnectFailed.into();
+                        }
                     }
                 }
             };
@@ -356,7 +422,7 @@
                 return Status::Moot.into();
             }
             if link.ready().await {
-                let left = until.since(self.clock.now());
+                let left = until.map_or(order.wait.as_secs_f64(), |until| until.since(self.clock.now()));
                 if let Ok(left) = HeaderValue::from_str(&format!("{left:.3}")) {
                     request.headers_mut().insert(EXPIRES_IN, left);
                 }
@@ -365,9 +431,11 @@
                 let sent = link.sender.try_send_request(request).await;
                 self.heard_of(peer);
                 match sent {
-                    Ok(answer) => return self.read(peer, link, answer).await,
+                    Ok(answer) => return self.read(peer, link, order, answer, begun).await,
                     Err(mut e) => match e.take_message() {
                         Some(unsent) => request = unsent,
+                        // The last byte was not written, so it never ran.
+                        None if order.passed() != Passed::All => return Status::ConnectFailed.into(),
                         // Written, in part at least: nothing proves that it was not all.
                         None => {
                             let at_once = written.elapsed() <= self.connect_time.get().max(AT_ONCE);
@@ -382,13 +450,21 @@
             // The connection was closed before anything was written. One that was kept is replaced, and this
             // is still the same attempt; a new one will not come up.
             if idle.is_none() {
+                request.into_body().put_back();
                 return Status::ConnectFailed.into();
             }
         }
     }
 
-    async fn read(&self, peer: Peer, link: Link, answer: Response<Incoming>) -> Ending {
-        let (head, body) = answer.into_parts();
+    async fn read(
+        &self,
+        peer: Peer,
+        link: Link,
+        order: &Order,
+        answer: Response<Incoming>,
+        begun: impl Fn(Served),
+    ) -> Ending {
+        let (head, mut body) = answer.into_parts();
         let never_ran = head.headers.get(NEVER_RAN).is_some_and(|mark| mark == "1");
         let status = match head.status {
             StatusCode::OK => Status::Ok,
@@ -400,25 +476,39 @@
             report: self.readable(1, "load report", &head.headers, LOAD, load).unwrap_or_default(),
             ..status.into()
         };
-        // One that only the end of its connection ends may have been cut anywhere.
-        let bounded = body.size_hint().exact().is_some() || head.headers.contains_key(TRANSFER_ENCODING);
-        let whole = match status {
-            Status::Ok | Status::Full if bounded => timeout(BODY_MOST, collect(body)).await.ok().flatten(),
-            // An error's status line has told all that matters: nobody waits for the rest, and the connection
-            // goes with it.
-            Status::Error => return ending,
-            _ => None,
+        // An error's status line has told all that matters: nobody waits for the rest, and the connection goes with
+        // it.
+        if status == Status::Error {
+            return ending;
+        }
+        // One that only the end of its connection ends may have been cut anywhere, unless that end was announced.
+        let length = body.size_hint().exact();
+        let bounded =
+            length.is_some() || head.headers.contains_key(TRANSFER_ENCODING) || closes(&head.headers);
+        let read = match length {
+            Some(length) if length > MAX_BODY as u64 => Read::Spoilt,
+            _ if bounded => read_short(&mut body).await,
+            _ => Read::Spoilt,
         };
-        match whole {
-            Some(body) => {
-                self.give_back(peer, link);
+        let content_type = head.headers.get(CONTENT_TYPE).cloned();
+        match read {
+            Read::Whole(whole) => {
                 if status == Status::Ok {
-                    let content_type = head.headers.get(CONTENT_TYPE).cloned();
-                    ending.served = Some(Served { body, content_type });
+                    ending.served = Some(Served { body: whole.into(), content_type });
                 }
             }
-            // Also a refusal that is spoilt: its mark proves nothing then.
-            None => ending.status = Status::Reset,
+            Read::Part(come) if status == Status::Ok => {
+                let (pieces, words) = Words::flow(length);
+                begun(Served { body: words, content_type });
+                ending.status = pass_on(come, body, &pieces).await;
+                self.heard_of(peer);
+            }
+            // Also a refusal that is spoilt or too long: its mark proves nothing then.
+            Read::Part(_) | Read::Spoilt => ending.status = Status::Reset,
+        }
+        // With a part of the request unsent, what is sent next would be taken for the rest.
+        if matches!(ending.status, Status::Ok | Status::Full) && order.passed() == Passed::All {
+            self.give_back(peer, link);
         }
         ending
     }
@@ -441,6 +531,38 @@
     }
 }
 
+/// Whether the end of an answer's connection is the answer's end, as it says.
+fn closes(headers: &HeaderMap) -> bool {
+    let close = |value: &HeaderValue| {
+        value.to_str().is_ok_and(|text| text.split(',').any(|word| word.trim().eq_ignore_ascii_case("close")))
+    };
+    headers.get_all(CONNECTION).iter().any(close)
+}
+
+/// Passes a long answer on; how it ended.
+async fn pass_on(come: Bytes, mut body: Incoming, pieces: &Sender<Piece>) -> Status {
+    let mut next = Some(come).filter(|come| !come.is_empty());
+    loop {
+        if let Some(data) = next.take() {
+            if pieces.send(Piece::Data(data)).await.is_err() {
+                return Status::Cancelled;
+            }
+        }
+        tokio::select! {
+            read = timeout(LONG_PAUSE, more(&mut body)) => match read {
+                Ok(Ok(Some(data))) => next = Some(data),
+                Ok(Ok(None)) => break,
+                // The sender goes, and the client sees that it is cut off.
+                Ok(Err(_)) | Err(_) => return Status::Reset,
+            },
+            () = pieces.closed() => return Status::Cancelled,
+        }
+    }
+    // A client that has had the length that it was told does not wait for the end.
+    drop(pieces.send(Piece::End).await);
+    Status::Ok
+}
+
 fn percent(text: &str) -> Option<f64> {
     text.trim().parse().ok().filter(|used| (0.0..=METER_MOST).contains(used)).map(|used| used / 100.0)
 }
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -163,6 +163,16 @@
         }
     }
 
+    /// The connection of the one request that has met silence.
+    pub fn silent_stream(&self) -> TcpStream {
+        let mut stream = None;
+        until("it is silent", || {
+            stream = self.silent.lock().unwrap().pop();
+            stream.is_some()
+        });
+        stream.expect("just seen")
+    }
+
     pub fn requests(&self) -> usize {
         self.seen.lock().unwrap().len()
     }
--- a/src/api.rs
+++ b/src/api.rs
@@ -214,6 +214,9 @@
     pub gateways: u32,
     /// The client says that it has tried before; its earlier try had an id of its own.
     pub repeat: bool,
+    /// Its body is long and still on its way: it can be passed on but once, and what the request has of time begins
+    /// with [`Event::Written`].
+    pub flows: bool,
 }
 
 /// The end of an attempt.
@@ -231,6 +234,8 @@
     /// The units that the request really counted.
     pub true_units: Option<f64>,
     pub report: LoadReport,
+    /// The request can't be sent again: its body is gone.
+    pub last: bool,
 }
 
 /// What another process of the same gateway does, while one replaces the other. For quotas, ceilings and cold
@@ -253,6 +258,12 @@
         servers: Vec<ServerInfo>,
     },
     Request(NewRequest),
+    /// The server has the last of a body that flows; the request's deadline from now on.
+    Written {
+        id: RequestId,
+        attempt: AttemptNo,
+        deadline: Time,
+    },
     /// A streamed answer began: the attempt is the client's now.
     StreamStarted {
         id: RequestId,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
 //!     units: 1.0,
 //!     gateways: 1,
 //!     repeat: false,
+//!     flows: false,
 //! };
 //! gateway.handle(Time(5), Event::Request(request), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { server: ServerId(1), .. })));
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -257,6 +257,8 @@
     usual: f64,
     /// The slowest pace, in its class's mean latencies, of answers to what was sent there after it.
     overtaken: Option<f64>,
+    /// A long body passes, the request's or the answer's: its age says nothing of the server.
+    passing: bool,
 }
 
 impl Out {
@@ -266,7 +268,7 @@
     /// others, which cost a repeat then. A queue overtakes nothing, and a slow server sets a slow pace.
     fn lost(&self, now: Time, times: f64) -> bool {
         let patience = |pace: f64| self.doubted.since(self.sent).max(SILENT.0 * pace * self.usual);
-        self.overtaken.is_some_and(|pace| now.since(self.sent) >= times * patience(pace))
+        !self.passing && self.overtaken.is_some_and(|pace| now.since(self.sent) >= times * patience(pace))
     }
 }
 
@@ -363,6 +365,8 @@
     open: bool,
     /// Its client hung up.
     departed: bool,
+    /// Its body is still on its way.
+    flows: bool,
     streaming: bool,
     attempts: Vec<Attempt>,
 }
@@ -687,9 +691,8 @@
         match event {
             Event::Servers { scope, servers } => self.list(scope, servers),
             Event::Request(request) => self.arrive(request, actions),
-            Event::StreamStarted { id, .. } => {
-                self.requests.entry(id).and_modify(|r| r.streaming = true);
-            }
+            Event::Written { id, attempt, deadline } => self.written(id, attempt, deadline, actions),
+            Event::StreamStarted { id, attempt } => self.stream_started(id, attempt),
             Event::Outcome(outcome) => self.outcome(outcome, actions),
             Event::Departed(id) => {
                 self.requests.entry(id).and_modify(|r| r.departed = true);
@@ -704,7 +707,7 @@
             Event::Timer(Token(token)) => {
                 let Ok(id) = u32::try_from(token >> 2).map(RequestId) else { return };
                 match token & 3 {
-                    TOKEN_DEADLINE => self.give_up(id, actions),
+                    TOKEN_DEADLINE if !self.overtime(id) => self.give_up(id, actions),
                     TOKEN_CHECK => self.check(id, actions),
                     _ => {}
                 }
@@ -794,6 +797,7 @@
             units,
             inside,
             open: true,
+            flows: new.flows,
             ..Request::default()
         };
         let Some(server) = self.pick(&request).filter(|_| new.deadline > now) else {
@@ -806,12 +810,82 @@
         }
         self.retries = (self.retries + RETRY.0).min(RETRY.1);
         self.requests.insert(id, request);
-        let early = Time(new.deadline.0.saturating_sub(self.cfg.tick.as_nanos() as u64));
-        let token = Token(u64::from(id.0) << 2 | TOKEN_DEADLINE);
-        actions.push(Action::Timer { at: early.max(now), token });
+        self.end_by(id, new.deadline, actions);
         self.send(id, server, actions);
     }
 
+    /// Whether a request has more time than was known when its deadline's timer was set.
+    fn overtime(&self, id: RequestId) -> bool {
+        let early = self.now.after(2 * self.cfg.tick);
+        self.requests.get(&id).is_some_and(|r| r.flows || early < r.deadline)
+    }
+
+    /// The server has all of a request now: its time begins.
+    fn written(&mut self, id: RequestId, attempt: AttemptNo, deadline: Time, actions: &mut Vec<Action>) {
+        let now = self.now;
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let (class, server) = (r.class, r.attempts.get(attempt.0 as usize).map(|a| a.server));
+        (r.flows, r.deadline) = (false, deadline);
+        r.wanted = now.after(self.cfg.classes[class].aim).min(deadline);
+        let doubted = now.after_secs(self.patience(class));
+        let out = server.and_then(|s| self.servers.get_mut(&s)).map(|s| &mut s.out);
+        if let Some(out) = out.and_then(|out| out.iter_mut().find(|o| (o.id, o.attempt) == (id, attempt))) {
+            (out.sent, out.doubted, out.passing) = (now, doubted, false);
+        }
+        self.end_by(id, deadline, actions);
+        actions.push(Action::Timer { at: doubted, token: Token(u64::from(id.0) << 2 | TOKEN_CHECK) });
+    }
+
+    /// Sets the timer by which a request must have its final answer.
+    fn end_by(&self, id: RequestId, deadline: Time, actions: &mut Vec<Action>) {
+        let early = Time(deadline.0.saturating_sub(self.cfg.tick.as_nanos() as u64));
+        let token = Token(u64::from(id.0) << 2 | TOKEN_DEADLINE);
+        actions.push(Action::Timer { at: early.max(self.now), token });
+    }
+
+    /// A long answer has begun: that is the server's answer. How long it lasts is its length's affair, and the
+    /// client's.
+    fn stream_started(&mut self, id: RequestId, attempt: AttemptNo) {
+        let now = self.now;
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        r.streaming = true;
+        let (class, at) = (r.class, r.attempts.get(attempt.0 as usize).map(|a| a.server));
+        let Some(s) = at.and_then(|server| self.servers.get_mut(&server)) else { return };
+        let Some(out) = s.out.iter_mut().find(|o| (o.id, o.attempt) == (id, attempt)) else { return };
+        out.passing = true;
+        let (server, sent) = (s.info.id, out.sent);
+        self.answered(server, class, sent, now.since(sent));
+    }
+
+    /// A server has answered after so many seconds.
+    fn answered(&mut self, server: ServerId, class: usize, sent: Time, elapsed: f64) {
+        let (now, typical) = (self.now, self.latency[class].max(1e-6));
+        self.slowed(server, elapsed / typical);
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.last_answer = now;
+            let pace = elapsed / typical;
+            for out in s.out.iter_mut().filter(|out| out.sent < sent) {
+                out.overtaken = Some(out.overtaken.map_or(pace, |slowest| slowest.max(pace)));
+            }
+            s.answers.add(now, 1.0);
+        }
+        self.shedder.sample(1.0, self.cost(class), elapsed / self.aim(class));
+        self.latency[class] = mix(self.latency[class], elapsed, LATENCY_WEIGHT);
+    }
+
+    /// A server has taken so many mean latencies.
+    fn slowed(&mut self, server: ServerId, slow: f64) {
+        let now = self.now;
+        if let Some(s) = self.servers.get_mut(&server).filter(|_| slow > 0.0) {
+            let ((kind, seen), slow) =
+                (self.kinds.entry(s.info.kind).or_insert((1.0, 1.0)), slow.min(SLOW_MOST));
+            *seen += 1.0;
+            *kind = mix(*kind, slow, LATENCY_WEIGHT.max(1.0 / *seen));
+            s.slow = mix(s.slowness(now, *kind), slow, SLOW_WEIGHT);
+            s.slow_at = now;
+        }
+    }
+
     /// Seconds that the client has waited already, as far as it can be known: the class's deadline spans all
     /// its tries, so a repeat that is given less than a first try of its class is given what is left of it.
     fn waited(&mut self, new: &NewRequest) -> f64 {
@@ -917,7 +991,11 @@
                 continue;
             }
             let kind = self.kinds.get(&s.info.kind).map_or(1.0, |kind| kind.0);
-            let silence = s.out.first().filter(|o| s.last_answer < o.sent).map_or(0.0, |o| now.since(o.sent));
+            let silence = s
+                .out
+                .first()
+                .filter(|o| !o.passing && s.last_answer < o.sent)
+                .map_or(0.0, |o| now.since(o.sent));
             let slow = s.slowness(now, kind).max(silence / typical);
             let at = |sick: Option<&Sick>| sick.map_or(0.0, |sick| sick.get(now));
             let sick = at(s.sick.get(&request.class)) + at(self.zones.get(&s.info.zone));
@@ -943,11 +1021,11 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let attempt = AttemptNo(r.attempts.len() as u32);
         r.attempts.push(Attempt { server, sent: now, end: None });
-        let (class, deadline, customer) = (r.class, r.deadline, r.customer);
+        let (class, deadline, customer, passing) = (r.class, r.deadline, r.customer, r.flows);
         let (doubted, usual) = (now.after_secs(self.patience(class)), self.latency[class]);
         if let Some(s) = self.servers.get_mut(&server) {
             s.owed = false;
-            s.out.push(Out { id, attempt, sent: now, doubted, usual, overtaken: None });
+            s.out.push(Out { id, attempt, sent: now, doubted, usual, overtaken: None, passing });
             if s.warmth(now, &self.cfg) < 1.0 {
                 s.cold_tokens -= 1.0;
             }
@@ -977,7 +1055,7 @@
         attempt.end = Some(o.status);
         let (server, sent) = (attempt.server, attempt.sent);
         let (class, customer, was_open) = (r.class, r.customer, r.open);
-        let (inside, guess) = (r.inside, r.units);
+        let (inside, guess, streamed) = (r.inside, r.units, r.streaming);
         // Who hangs up early says nothing of the server: one that is silent ends as timed out before.
         let blameless = o.status == Status::Moot || (o.status == Status::Cancelled && r.departed);
         let first = r.attempts.iter().filter(|a| a.end == Some(Status::Ok)).count() == 1;
@@ -1002,22 +1080,6 @@
                 (s.queue, s.queue_at) = (sane(q), now);
             }
             s.util = o.report.utilization.map(sane).or(s.util);
-            // What gets no answer is slow as well: a jammed server would else look like any of its kind.
-            let slow = match o.status {
-                Status::Ok => elapsed / typical,
-                Status::Full | Status::TimedOut | Status::Cancelled if !blameless => {
-                    elapsed.max(aim) / typical
-                }
-                _ => 0.0,
-            };
-            if slow > 0.0 {
-                let ((kind, seen), slow) =
-                    (self.kinds.entry(s.info.kind).or_insert((1.0, 1.0)), slow.min(SLOW_MOST));
-                *seen += 1.0;
-                *kind = mix(*kind, slow, LATENCY_WEIGHT.max(1.0 / *seen));
-                s.slow = mix(s.slowness(now, *kind), slow, SLOW_WEIGHT);
-                s.slow_at = now;
-            }
             if o.status != Status::Full && !blameless {
                 if s.sick.entry(class).or_default().felt(o.status != Status::Ok, now) {
                     actions.push(Action::Log(format!("server {} fails class {class}", server.0)));
@@ -1025,21 +1087,14 @@
                 let zone = self.zones.entry(s.info.zone).or_default();
                 zone.felt(o.status == Status::ConnectFailed, now);
             }
-            if o.status == Status::Ok {
-                s.last_answer = now;
-                let pace = elapsed / typical;
-                for out in s.out.iter_mut().filter(|out| out.sent < sent) {
-                    out.overtaken = Some(out.overtaken.map_or(pace, |slowest| slowest.max(pace)));
-                }
-                s.answers.add(now, 1.0);
-            }
+        }
+        // What gets no answer is slow as well: a jammed server would else look like any of its kind.
+        if matches!(o.status, Status::Full | Status::TimedOut | Status::Cancelled) && !blameless {
+            self.slowed(server, elapsed.max(aim) / typical);
         }
         // The loop's latency: refusals and time-outs count as the deadline; quick errors count nothing.
         match o.status {
-            Status::Ok => {
-                self.shedder.sample(1.0, cost, elapsed / aim);
-                self.latency[class] = mix(self.latency[class], elapsed, LATENCY_WEIGHT);
-            }
+            Status::Ok if !streamed => self.answered(server, class, sent, elapsed),
             Status::Full | Status::TimedOut => self.shedder.sample(1.0, cost, deadline / aim),
             _ => {}
         }
@@ -1047,7 +1102,7 @@
             self.finish(o.id, Some(o.attempt), actions);
         } else {
             let out = self.requests.get(&o.id).is_some_and(|r| r.out() || r.streaming);
-            if !out && !self.again(o.id, actions) {
+            if !out && (o.last || !self.again(o.id, actions)) {
                 self.give_up(o.id, actions);
             }
         }
@@ -1153,7 +1208,7 @@
         self.sends *= (-STEP / RATE_MEMORY).exp();
         // An attempt still out counts by its age, at the rate at which it would be counted once answered.
         let mut waiting = Vec::new();
-        for out in self.usable().flat_map(|s| &s.out).filter(|out| !out.lost(now, LOST.0)) {
+        for out in self.usable().flat_map(|s| &s.out).filter(|out| !out.passing && !out.lost(now, LOST.0)) {
             let age = now.since(out.sent);
             if let Some(r) = self.requests.get(&out.id).filter(|r| r.open && age > self.latency[r.class]) {
                 waiting.push((STEP / age, self.cost(r.class), age / self.aim(r.class)));
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -45,6 +45,7 @@
         units: 1.0,
         gateways: 1,
         repeat: false,
+        flows: false,
     };
     let mut actions = Vec::new();
     gateway.handle(Time(now), Event::Request(request), &mut actions);
@@ -69,6 +70,7 @@
         metered: None,
         true_units: None,
         report: LoadReport::default(),
+        last: false,
     };
     gateway.handle(Time(1_000_000_000), Event::Outcome(outcome), &mut Vec::new());
     steps(&mut gateway);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -128,6 +128,7 @@
             units,
             gateways: self.spread,
             repeat: false,
+            flows: false,
         }));
         (id, actions)
     }
@@ -156,6 +157,7 @@
         metered: None,
         true_units: None,
         report: LoadReport::default(),
+        last: false,
     }
 }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -400,6 +400,7 @@
             units: 1.0,
             gateways: 2,
             repeat: false,
+            flows: false,
         }))
     };
     // Answers take 300 ms: 100 ms are too little, 250 ms may do.
@@ -426,6 +427,7 @@
             units: 1.0,
             gateways: 2,
             repeat,
+            flows: false,
         }));
         let let_in = sent(&actions).is_some();
         if let_in {
