Count long bodies that pass neither as work nor as attempts out

Ruled out: the throttle (no line), late repeats (none), failures (none), time-outs of bodies (none). Tests fail without each part (tried).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -319,7 +319,7 @@
 
     /// Attempts out from this gateway.
     fn held(&self) -> f64 {
-        self.out.len() as f64 + f64::from(self.elsewhere)
+        self.out.iter().filter(|o| !o.passing).count() as f64 + f64::from(self.elsewhere)
     }
 
     /// Size against the mean of all servers.
@@ -825,6 +825,7 @@
         let now = self.now;
         let Some(r) = self.requests.get_mut(&id) else { return };
         let (class, server) = (r.class, r.attempts.get(attempt.0 as usize).map(|a| a.server));
+        self.customers.entry(r.customer).and_modify(|c| c.out += 1);
         (r.flows, r.deadline) = (false, deadline);
         r.wanted = now.after(self.cfg.classes[class].aim).min(deadline);
         let doubted = now.after_secs(self.patience(class));
@@ -843,8 +844,8 @@
         actions.push(Action::Timer { at: early.max(self.now), token });
     }
 
-    /// A long answer has begun: that is the server's answer. How long it lasts is its length's affair, and the
-    /// client's.
+    /// A long answer has begun, which is the server's answer. How long it lasts is up to its length and the
+    /// client.
     fn stream_started(&mut self, id: RequestId, attempt: AttemptNo) {
         let now = self.now;
         let Some(r) = self.requests.get_mut(&id) else { return };
@@ -954,7 +955,7 @@
         let (mut out, mut rate, mut size) = (0.0, 0.0, 0.0);
         for s in self.usable() {
             // What is lost is no work, and would keep room at the others for as long as its deadline is away.
-            let here = s.out.iter().filter(|o| !o.lost(self.now, LOST.1)).count();
+            let here = s.out.iter().filter(|o| !o.passing && !o.lost(self.now, LOST.1)).count();
             out += here as f64 + f64::from(s.elsewhere);
             rate += s.answers.get(self.now);
             size += s.size(mean_size);
@@ -1030,7 +1031,8 @@
                 s.cold_tokens -= 1.0;
             }
         }
-        if let Some(c) = self.customers.get_mut(&customer) {
+        // One whose body is on its way is not out yet: the server has not begun.
+        if let Some(c) = self.customers.get_mut(&customer).filter(|_| !passing) {
             c.out += 1;
         }
         self.sends += 1.0;
@@ -1055,14 +1057,14 @@
         attempt.end = Some(o.status);
         let (server, sent) = (attempt.server, attempt.sent);
         let (class, customer, was_open) = (r.class, r.customer, r.open);
-        let (inside, guess, streamed) = (r.inside, r.units, r.streaming);
+        let (inside, guess, streamed, unsent) = (r.inside, r.units, r.streaming, r.flows);
         // Who hangs up early says nothing of the server: one that is silent ends as timed out before.
         let blameless = o.status == Status::Moot || (o.status == Status::Cancelled && r.departed);
         let first = r.attempts.iter().filter(|a| a.end == Some(Status::Ok)).count() == 1;
         let (elapsed, deadline) = (o.elapsed.as_secs_f64(), self.cfg.classes[class].deadline.as_secs_f64());
         let (aim, cost) = (self.aim(class), self.cost(class));
         if let Some(c) = self.customers.get_mut(&customer) {
-            c.out = c.out.saturating_sub(1);
+            c.out = c.out.saturating_sub(u32::from(!unsent));
             if let Some(used) = o.metered {
                 c.refill(now, self.cfg.meter_period.as_secs_f64(), self.cfg.max_units);
                 c.metered(now, used, self.cfg.meter_period.as_secs_f64());
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -717,3 +717,70 @@
     told(&mut new, Elsewhere::Gone);
     assert_eq!(new.serve(0, 0, 8, 10), Some(ServerId(1)));
 }
+
+/// A request whose body is long, as it arrives.
+fn long_request(door: &mut Door, id: u32) -> Vec<Action> {
+    door.event(Event::Request(NewRequest {
+        id: RequestId(id),
+        class: ClassId(0),
+        plan: PlanId(0),
+        customer: CustomerId(1),
+        deadline: Time(door.now + 3_000_000_000),
+        units: 1.0,
+        gateways: 2,
+        repeat: false,
+        flows: true,
+    }))
+}
+
+/// A long body takes its time on the way: the request's own begins with the last byte, and until then it is not one
+/// of the attempts that its customer may have out, nor work for the server.
+#[test]
+fn the_time_of_a_long_request_begins_with_its_last_byte() {
+    let plan = Plan { open_limit: 2, ..roomy() };
+    let mut door = Door::new(settings(vec![class(Effect::Unsafe, 1.0)], vec![plan]), 1);
+    for id in 900..905 {
+        assert!(sent(&long_request(&mut door, id)).is_some(), "{id}: none of them is out yet");
+    }
+    let passed = door.pass(20_000);
+    assert!(!refused(&passed) && !failed(&passed), "it is waited for while it gets on");
+    let (id, attempt) = (RequestId(900), AttemptNo(0));
+    let deadline = Time(door.now + 3_000_000_000);
+    door.event(Event::Written { id, attempt, deadline });
+    let passed = door.pass(2900);
+    assert!(!refused(&passed) && !failed(&passed));
+    let (_, more) = door.request(0, 0, 1);
+    assert!(refused(&more), "what is written is out: the cap leaves this gateway one");
+    assert!(failed(&door.pass(200)), "it may have run");
+}
+
+/// What may be sent but once is given up when it has been: no other attempt could carry it.
+#[test]
+fn a_body_that_is_gone_is_not_sent_again() {
+    let mut door = Door::new(settings(safe(), vec![roomy()]), 4);
+    assert!(sent(&long_request(&mut door, 900)).is_some());
+    let gone = Outcome { last: true, ..outcome(RequestId(900), 0, Status::ConnectFailed, 5) };
+    let after = door.event(Event::Outcome(gone));
+    assert!(sent(&after).is_none() && refused(&after), "it never ran");
+    assert!(sent(&long_request(&mut door, 901)).is_some());
+    let after = door.settle(RequestId(901), 0, Status::ConnectFailed, 5);
+    assert!(sent(&after).is_some(), "nothing of this one has been passed on");
+}
+
+/// A long answer is an answer from its first byte on, and what passes of it later takes no room at its server.
+#[test]
+fn answers_that_pass_take_no_room_and_are_not_slow() {
+    let mut door = Door::new(settings(safe(), vec![roomy()]), 1);
+    for n in 0..40 {
+        let (id, actions) = door.request(0, 0, n);
+        assert!(sent(&actions).is_some(), "{n} of them pass");
+        door.pass(10);
+        door.event(Event::StreamStarted { id, attempt: AttemptNo(0) });
+    }
+    let passed = door.pass(20_000);
+    assert!(!passed.iter().any(|a| matches!(a, Action::Log(_) | Action::Cancel { .. })), "{passed:?}");
+    assert!(door.serve(0, 0, 99, 10).is_some());
+    // One that breaks off has had its answer, and has no other attempt.
+    let broken = Outcome { finished: true, ..outcome(RequestId(0), 0, Status::Reset, 20_000) };
+    assert!(sent(&door.event(Event::Outcome(broken))).is_none());
+}
