--- a/src/rules.rs
+++ b/src/rules.rs
@@ -476,7 +476,9 @@
         self.quiet += STEP;
         let open = &mut self.samples[SAMPLES - 1];
         open.span += STEP;
-        let full = open.count >= SAMPLE_LEAST;
+        // What is shed here nobody answers: with fewer let in, fewer are enough, or f would stay where it is
+        // for want of the answers that it keeps from coming.
+        let full = open.count >= (SAMPLE_LEAST * self.f).max(1.0);
         if let Some(rho) = rho.filter(|_| full) {
             let mut ratio = RHO_THRESH / rho;
             if let Some(thresh) = self.alpha_thresh.filter(|_| reported.is_some() && alpha > 0.0) {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -784,3 +784,33 @@
     let broken = Outcome { finished: true, ..outcome(RequestId(0), 0, Status::Reset, 20_000) };
     assert!(sent(&door.event(Event::Outcome(broken))).is_none());
 }
+
+/// After a jam the fraction let in rises again though few answers come, as it keeps them from coming itself.
+#[test]
+fn a_low_fraction_does_not_starve_itself_of_answers() {
+    let mut door = Door::new(settings(safe(), vec![roomy()]), 2);
+    // All that comes finds no room while the servers say nothing for a while.
+    let mut jam = Vec::new();
+    for _ in 0..200 {
+        let (id, actions) = door.request(0, 0, 1);
+        jam.extend(sent(&actions).map(|_| id));
+        door.pass(5);
+    }
+    for id in jam {
+        door.settle(id, 0, Status::Ok, 1000);
+    }
+    let serve = |door: &mut Door, seconds: u32| {
+        let tries = 100 * seconds;
+        let served = (0..tries).filter(|_| {
+            let served = door.serve(0, 0, 1, 5).is_some();
+            door.pass(5);
+            served
+        });
+        served.count() as f64 / f64::from(tries)
+    };
+    let first = serve(&mut door, 1);
+    serve(&mut door, 2);
+    let then = serve(&mut door, 1);
+    assert!(first < 0.5, "{first}: a jam it was");
+    assert!(then > 0.9, "{then} let in three seconds later");
+}
