Give a cold server its part of a warm one's sends, not of a mean that sinks with it

With five of seven servers cold the mean of sends over all told 1.8 a second and server where each could do six; the warm two were full, requests found no room, f fell, and so did the mean. A cold server's store now holds half of its window's part, so that a burst behind it stays under twice what it can do. Test fails without (tried).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -329,7 +329,8 @@
 
     /// Whether a cold server may take a send: it gets its part of what a warm one is sent, as `rate` tells.
     fn takes_cold(&mut self, now: Time, rate: f64, cfg: &Settings) -> bool {
-        let most = (rate * cfg.cold_window.as_secs_f64()).max(1.0);
+        // With what comes while it is spent, less than what it can do in the window by a margin.
+        let most = (0.5 * rate * cfg.cold_window.as_secs_f64()).max(1.0);
         self.cold_tokens = (self.cold_tokens + now.since(self.cold_at) * rate).min(most);
         self.cold_at = now;
         self.cold_tokens >= 1.0
@@ -977,7 +978,9 @@
         let (horizon, least) = self.room(request, mean_size)?;
         let typical = self.latency[request.class].max(1e-6);
         let life = now.since(self.started.unwrap_or(now)).clamp(1.0, RATE_MEMORY);
-        let warm_rate = self.sends / life / f64::max(count, 1.0);
+        // What a warm one is sent when each gets its part; a mean over all would sink with the cold ones.
+        let warm: f64 = self.usable().map(|s| s.size(mean_size) * s.warmth(now, &self.cfg)).sum();
+        let warm_rate = self.sends / life / f64::max(warm, 0.1);
         let noise: Vec<f64> = (0..self.servers.len()).map(|_| self.random.next()).collect();
         let mut best: Option<(f64, ServerId)> = None;
         for (s, noise) in self.servers.values_mut().zip(noise) {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -785,6 +785,31 @@
     assert!(sent(&door.event(Event::Outcome(broken))).is_none());
 }
 
+/// With most servers cold, each gets its part of what a warm one is sent: the whole fleet is used, and no cold one
+/// more than it can do.
+#[test]
+fn cold_servers_get_their_part_however_many_they_are() {
+    let cfg = Settings { gateways: 1, ..settings(safe(), vec![roomy()]) };
+    let mut door = Door::new(cfg, 7);
+    door.spread = 1;
+    for _ in 0..300 {
+        door.serve(0, 0, 1, 10);
+    }
+    let started = Some(Time(door.now));
+    let cold = (0..5).map(|id| ServerInfo { started, ..server(id) }).collect();
+    door.list(Scope::Delta, cold);
+    for second in 0..4 {
+        let picks: Vec<_> = (0..100).filter_map(|_| door.serve(0, 0, 1, 10)).collect();
+        let to_cold = picks.iter().filter(|server| server.0 < 5).count() as f64 / 100.0;
+        // They warm evenly from a fifth in ten seconds.
+        let warmth = 0.2 + 0.08 * (f64::from(second) + 0.5);
+        let part = 5.0 * warmth / (5.0 * warmth + 2.0);
+        assert_eq!(picks.len(), 100, "all are let in");
+        let near = part * 0.6..part * 1.5;
+        assert!(second == 0 || near.contains(&to_cold), "{to_cold} of {part} in second {second}");
+    }
+}
+
 /// After a jam the fraction let in rises again though few answers come, as it keeps them from coming itself.
 #[test]
 fn a_low_fraction_does_not_starve_itself_of_answers() {
