Answer all that is open before SIGKILL, and wait for first requests being written

A console's burst of silent callers could push out a whole call not yet read (a caller is now 50 ms old before it makes room), and the rest of a refused long body met a reset after 1 MiB. The tests fail without the wait and without the bound.

--- a/gateway/src/console.rs
+++ b/gateway/src/console.rs
@@ -17,12 +17,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio::task::{spawn_local, AbortHandle};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
-/// Callers at once. With more, whoever has gone longest without a whole call goes: what is whole is answered at
-/// once, so only the silent and the slow are ever that old.
+/// Callers at once. When there are as many, whoever has gone longest without a whole call makes room ...
 pub const CALLERS: usize = 16;
+/// ... once it has been here for this long: what is whole is read and answered sooner, so it is never that old.
+/// Further callers wait in the listener's queue meanwhile.
+const SETTLE: Duration = Duration::from_millis(50);
 /// A call has this long to come, and its answer to go out.
 const CALL_MOST: Duration = Duration::from_millis(2500);
 /// A head holds at most this much. Nothing that is asked here needs more ...
@@ -49,18 +52,25 @@
 pub struct Console {
     operations: Rc<Operations>,
     accepted: Cell<u64>,
-    callers: RefCell<BTreeMap<u64, AbortHandle>>,
+    callers: RefCell<BTreeMap<u64, (Instant, AbortHandle)>>,
+    left: Notify,
 }
 
 impl Console {
     pub fn new(operations: Rc<Operations>) -> Rc<Console> {
-        Rc::new(Console { operations, accepted: Cell::new(0), callers: RefCell::default() })
+        Rc::new(Console {
+            operations,
+            accepted: Cell::new(0),
+            callers: RefCell::default(),
+            left: Notify::new(),
+        })
     }
 
     /// Takes calls, for good.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         let mut logged = false;
         loop {
+            self.make_room().await;
             match listener.accept().await {
                 Ok((stream, _)) => self.begin(stream),
                 Err(e) => {
@@ -79,11 +89,21 @@
         let task = spawn_local(async move {
             console.hear(stream).await;
             console.callers.borrow_mut().remove(&number);
+            console.left.notify_one();
         });
-        let mut callers = self.callers.borrow_mut();
-        callers.insert(number, task.abort_handle());
-        if callers.len() > CALLERS {
-            if let Some((_, oldest)) = callers.pop_first() {
+        self.callers.borrow_mut().insert(number, (Instant::now(), task.abort_handle()));
+    }
+
+    /// Waits until there is room for another caller.
+    async fn make_room(&self) {
+        while self.callers.borrow().len() >= CALLERS {
+            let Some(settled) = self.callers.borrow().values().next().map(|(since, _)| *since + SETTLE)
+            else {
+                return;
+            };
+            if settled > Instant::now() {
+                drop(timeout_at(settled, self.left.notified()).await);
+            } else if let Some((_, (_, oldest))) = self.callers.borrow_mut().pop_first() {
                 oldest.abort();
             }
         }
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -83,6 +83,8 @@
     decide: RefCell<Decide>,
     open: RefCell<BTreeMap<RequestId, Open>>,
     last_id: Cell<u32>,
+    /// When every answer must be out: the process ends.
+    end: Cell<Option<Time>>,
     timers: RefCell<BinaryHeap<Reverse<(Time, Due)>>>,
     /// A timer was set that is due before all others.
     sooner: Notify,
@@ -113,6 +115,7 @@
             decide: RefCell::new(decide),
             open: RefCell::default(),
             last_id: Cell::new(0),
+            end: Cell::new(None),
             timers: RefCell::default(),
             sooner: Notify::new(),
             queue: RefCell::default(),
@@ -140,10 +143,20 @@
         if !request.flows {
             self.set_timer(deadline, Due::Answer(id));
         }
+        if let Some(end) = self.end.get() {
+            self.set_timer(end, Due::Answer(id));
+        }
         self.post(Event::Request(request));
         (id, answered)
     }
 
+    /// Whatever is open or comes gets its answer by then: the process is killed after that.
+    pub fn end_by(&self, end: Time) {
+        self.end.set(Some(end));
+        let open: Vec<RequestId> = self.open.borrow().keys().copied().collect();
+        open.into_iter().for_each(|id| self.set_timer(end, Due::Answer(id)));
+    }
+
     /// The client has left without its answer.
     pub fn departed(&self, id: RequestId) {
         if self.finish(id).is_some() {
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -46,8 +46,12 @@
 const DRAIN_IDLE: Duration = Duration::from_millis(500);
 /// A connection about to be closed on which bytes have come after all is looked at again after this time.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
-/// After SIGTERM a first request that has begun is waited for as long as heads may take, from the last new connection.
-const LAST_FIRST_HEAD: Duration = Duration::from_millis(2500);
+/// After SIGTERM a first request that has begun is waited for for this long: new connections come for 0.4 s, heads may
+/// take 2 s.
+const LAST_FIRST_HEAD: Duration = Duration::from_millis(2600);
+/// SIGKILL comes the longest deadline after SIGTERM (3 s at most), and this long more, of which some is left here for
+/// the answers' way out.
+const KILL_AFTER: (Duration, Duration) = (Duration::from_secs(3), Duration::from_millis(550));
 /// Time in which a connection just accepted brings its first request.
 const SETTLE: Duration = Duration::from_millis(100);
 /// With more connections than there is room for and none that can be closed yet, they are looked through again
@@ -462,6 +466,9 @@
         let up = replaced && !self.draining();
         self.service.set(if up { Service::Replaced } else { Service::Ending });
         self.tell_all();
+        let classes = &self.site.settings.classes;
+        let longest = classes.iter().map(|class| class.deadline).max().unwrap_or_default();
+        self.engine.end_by(self.engine.clock.now().after(longest.min(KILL_AFTER.0) + KILL_AFTER.1));
     }
 
     /// Connections that may be open from now on.
@@ -481,10 +488,10 @@
     }
 
     /// Waits until every connection on which something was asked has ended, those accepted last too, and those on
-    /// which a first request has begun; that only for as long as a head may take.
-    pub async fn emptied(&self) {
+    /// which a first request has begun; that only for as long as a head may take, from SIGTERM on.
+    pub async fn emptied(&self, terminated: Instant) {
         sleep(SETTLE).await;
-        let until = Instant::now() + LAST_FIRST_HEAD;
+        let until = terminated + LAST_FIRST_HEAD;
         let owed = |client: &Rc<Client>| {
             client.asked.get() || (client.head_since.get().is_some() && Instant::now() < until)
         };
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -164,18 +164,18 @@
         _ = terminate.recv() => {}
     }
     // From here on every answer closes its connection, so that clients move to the other gateways.
-    let end = Instant::now() + LINGER;
+    let terminated = Instant::now();
     let replaced = engine.links.any();
     front.close(replaced);
     // What waits in the queue of a socket that another process listens on is that one's.
     if !replaced {
         tokio::select! {
             () = front.accept(&listener) => {}
-            () = sleep_until(end) => {}
+            () = sleep_until(terminated + LINGER) => {}
         }
         front.accept_queued(&listener);
     }
     drop(listener);
-    front.emptied().await;
+    front.emptied(terminated.into()).await;
     Ok(())
 }
--- a/gateway/src/socket.rs
+++ b/gateway/src/socket.rs
@@ -14,9 +14,9 @@
 
 /// Most that is taken from the system at once.
 const PIECE: usize = 16 << 10;
-/// A connection that ends with input unread is read on for this long and this far. Guards against the reset
-/// that closing it at once would send: it takes away the answer that the peer has not read yet.
-const LINGER: (Duration, usize) = (Duration::from_secs(1), 1 << 20);
+/// A connection that ends with input unread is read on for this long and this far: a whole long body. Guards against
+/// the reset that closing it at once would send: it takes away the answer that the peer has not read yet.
+const LINGER: (Duration, usize) = (Duration::from_secs(1), 32 << 20);
 
 /// Who looks on while hyper uses a socket.
 pub trait Watch {
--- a/gateway/tests/lifecycle.rs
+++ b/gateway/tests/lifecycle.rs
@@ -257,3 +257,40 @@
     assert_eq!(open.ask(&saldo("n1", "3")).text(), "new");
     assert_eq!(server.connections.load(Ordering::SeqCst), 2, "the old one's connection is not the new one's");
 }
+
+#[test]
+fn sigterm_waits_for_a_first_request_that_is_being_written_and_for_no_silence() {
+    let server = Stub::start(|_| ok("served"));
+    let (mut gateway, _agent) = Running::before(&[&server]);
+    let _mute: Vec<Client> = (0..5).map(|_| gateway.client()).collect();
+    let mut slow = gateway.client();
+    let request = saldo("slow", "3");
+    let (begun, rest) = request.split_at(30);
+    slow.write(begun);
+    // Its first bytes are known to be here once a later request on another connection is answered.
+    assert_eq!(gateway.client().ask(&saldo("other", "3")).status(), 200);
+    gateway.terminate();
+    until("it accepts no more", || std::net::TcpStream::connect(gateway.addr).is_err());
+    slow.write(rest);
+    let answer = slow.answer().expect("it is served");
+    assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
+    assert!(gateway.exit().success());
+}
+
+#[test]
+fn what_is_open_when_the_process_must_end_has_its_answer_before() {
+    let server = Stub::start(|_| Reply::Silence);
+    let agent = Agent::start();
+    let known = list(1, true, &serving(&[&server]));
+    let mut gateway = Running::start(&config("127.0.0.1:0", agent.stub.addr, Some(&known)));
+    // The class lets clients wait for 7.5 s; SIGKILL may come 3.7 s after SIGTERM.
+    let mut client = gateway.client();
+    client.write(&abono("open", "7", "pago"));
+    until("the server has it", || server.requests() == 1);
+    let asked = std::time::Instant::now();
+    gateway.terminate();
+    let answer = client.answer().expect("an answer");
+    assert!(answer.status() >= 500, "{}: it may have run", answer.status());
+    assert!(asked.elapsed().as_millis() < 3700, "{:?}", asked.elapsed());
+    assert!(gateway.exit().success());
+}
--- a/gateway/tests/operations.rs
+++ b/gateway/tests/operations.rs
@@ -86,6 +86,11 @@
     }
     assert_eq!(gateway.call("GET", "/ready"), 200);
     assert_eq!(gateway.client().ask(&saldo("q", "3")).status(), 200);
+    // Nor does a burst of them behind a call that is whole keep it from being read.
+    let mut whole = Client::connect(gateway.console());
+    whole.write("GET /ready HTTP/1.1\r\nHost: console\r\n\r\n");
+    silent.extend((0..100).map(|_| Client::connect(gateway.console())));
+    assert_eq!(whole.answer().expect("an answer").status(), 200);
     // Those that were silent for the longest made room, and the others go in time.
     for mut caller in silent {
         let mut rest = Vec::new();
