--- a/gateway/tests/lifecycle.rs
+++ b/gateway/tests/lifecycle.rs
@@ -271,6 +271,8 @@
     assert_eq!(gateway.client().ask(&saldo("other", "3")).status(), 200);
     gateway.terminate();
     until("it accepts no more", || std::net::TcpStream::connect(gateway.addr).is_err());
+    // It would have ended after a tenth of this, and heads have twice this and more.
+    std::thread::sleep(std::time::Duration::from_secs(1));
     slow.write(rest);
     let answer = slow.answer().expect("it is served");
     assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
