Be ready after an upgrade only with a list of servers in hand

A new process beside an old one that held no list yet said yes and refused all that came; and a client that left in the middle of a long answer had its attempt's end told to nobody in the other process. Found by reading; the new test fails without the first (tried).

--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -198,12 +198,17 @@
     }
 
     /// Takes over what another process of this gateway held. The agent may have told that one more than it passed on,
-    /// so the whole list is asked for next.
-    pub fn adopt(&mut self, ids: Ids) {
-        let servers = ids.0.values().filter_map(|n| n.host.clone().map(Entry::Readable)).collect();
+    /// so the whole list is asked for next. Whether it held one.
+    pub fn adopt(&mut self, ids: Ids) -> bool {
+        let listed = ids.0.values().filter_map(|n| n.host.clone().map(Entry::Readable));
+        let servers: Vec<Entry> = listed.collect();
         self.ids.replace(ids);
+        if servers.is_empty() {
+            return false;
+        }
         self.told(HostList { version: 0, full: true, servers });
         self.version = None;
+        true
     }
 
     /// Takes a list in.
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -328,11 +328,11 @@
 
     /// An attempt has ended by itself. The first whole answer is the client's.
     fn ended(&self, id: RequestId, attempt: AttemptNo, mut ending: Ending) {
+        if ending.status == Status::Cancelled {
+            // The client left in the middle of its answer. Told while the attempt is out still: its end comes next.
+            self.post(Event::Departed(id));
+        }
         if let Some((sent, _)) = self.take(id, attempt) {
-            if ending.status == Status::Cancelled {
-                // The client left in the middle of its answer.
-                self.post(Event::Departed(id));
-            }
             if let Some(served) = ending.served.take() {
                 self.answer(id, Answer::Served(served));
             }
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -132,11 +132,12 @@
     });
     if let Some((estate, peer)) = taken {
         gateway.borrow_mut().remember(estate.memory);
-        discovery.adopt(estate.ids);
+        if discovery.adopt(estate.ids) {
+            front.set_ready();
+        }
         if estate.draining {
             front.drain();
         }
-        front.set_ready();
         handover.join(peer);
     } else if let Some(known) = known {
         discovery.told(known);
--- a/gateway/tests/upgrade.rs
+++ b/gateway/tests/upgrade.rs
@@ -215,3 +215,19 @@
         assert_eq!(gateway.client().ask(&saldo("i", "3")).text(), "a", "{fd}");
     }
 }
+
+#[test]
+fn a_process_that_takes_over_no_list_is_not_ready() {
+    let mut platform = Platform::new(&[]);
+    let agent = Agent::start();
+    let addr = platform.listener.local_addr().expect("bound").to_string();
+    platform.config = config(&addr, agent.stub.addr, None);
+    let old = platform.start();
+    assert_eq!(old.call("GET", "/ready"), 503);
+    let new = platform.start();
+    assert!(new.log().contains("takes over"), "{}", new.log());
+    assert_eq!(new.call("GET", "/ready"), 503);
+    // It asks by itself.
+    agent.tell(ok(&list(1, true, &[])));
+    until("it is ready", || new.call("GET", "/ready") == 200 || old.call("GET", "/ready") == 200);
+}
