Let each gateway prefer a few servers, shared out evenly over the fleet

The 7 servers that were 6 times as slow got as much as the others: p50 180 to 330 ms, p99 1.8 to 2.6 s, attempts that stand long and fill the open cap of `standard`, 2,051 connections to servers. Checked: temporary lines for each ask, refusal, send and end, counted over the fleet. At fault: Gateway::pick, which weighed all servers alike however many gateways there are.

Each gateway now prefers nine servers (or so many that four gateways share each): chosen by hashes of its number and the ids, an equal part of each zone, each server by as many gateways as any other; one outside costs three times as much, so that it is taken when the preferred are busy, sick or slow. With up to four gateways that is all servers, as before. A cold server gets its sends from those that prefer it.

--- a/drill/src/settings.rs
+++ b/drill/src/settings.rs
@@ -27,6 +27,8 @@
 struct BootInfo {
     fleet_size: u32,
     #[serde(default)]
+    me: u32,
+    #[serde(default)]
     zone: u32,
     profiles: Vec<Profile>,
     #[serde(default)]
@@ -136,6 +138,7 @@
             idle: Duration::from_nanos(boot.limits.conn_idle),
             settings: lib::Settings {
                 gateways: boot.fleet_size,
+                number: boot.me,
                 zone: boot.zone,
                 classes: boot.profiles.into_iter().map(class).collect::<Result<_, _>>()?,
                 plans: boot.plans.into_iter().map(plan).collect(),
--- a/src/api.rs
+++ b/src/api.rs
@@ -111,6 +111,8 @@
 pub struct Settings {
     /// How many gateways there are.
     pub gateways: u32,
+    /// Which of them this is, from 0.
+    pub number: u32,
     /// The zone this gateway is in.
     pub zone: u32,
     pub classes: Vec<Class>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 //! let ms = Duration::from_millis;
 //! let settings = Settings {
 //!     gateways: 1,
+//!     number: 0,
 //!     zone: 0,
 //!     classes: vec![Class { aim: ms(800), deadline: ms(3000), worth: 1.0, effect: Effect::Safe }],
 //!     plans: vec![Plan { rate: 5.0, burst: 10.0, price: 1.0, ..Plan::default() }],
--- a/src/numbers.rs
+++ b/src/numbers.rs
@@ -2,6 +2,7 @@
 
 use crate::api::{Plan, Time};
 use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
 
 /// A finite, non-negative number, whatever was told.
 pub fn sane(x: f64) -> f64 {
@@ -57,16 +58,41 @@
     }
 }
 
+const GOLDEN: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// The finalizer of SplitMix64.
+fn scattered(mut z: u64) -> u64 {
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
+/// Most takers that [`subset`] tells apart, which bounds its work.
+const TAKERS_MOST: u32 = 1000;
+
+/// The share of one of several takers in some items: `own` of them each, each item to as many takers as any other
+/// but one, and the same wherever it is reckoned. By hashes (rendezvous), so that an item that comes or goes moves
+/// few of the others; in the takers' order, as one whose first items are taken has its next ones.
+pub fn subset(items: &mut [u32], taker: u32, takers: u32, own: usize) -> &[u32] {
+    let (own, takers) = (own.min(items.len()), takers.clamp(1, TAKERS_MOST));
+    let most = (f64::from(takers) * own as f64 / items.len().max(1) as f64).ceil() as u32;
+    let mut taken: HashMap<u32, u32> = HashMap::new();
+    let hash = |a: u32, b: u32| scattered((u64::from(a) << 32 | u64::from(b)).wrapping_add(GOLDEN));
+    for before in 0..=taker % takers {
+        // Those that others have taken up come last.
+        items.sort_by_cached_key(|&item| (taken.get(&item).is_some_and(|&n| n >= most), hash(before, item)));
+        items[..own].iter().for_each(|&item| *taken.entry(item).or_default() += 1);
+    }
+    &items[..own]
+}
+
 /// A stream of random numbers from a seed (SplitMix64).
 pub struct Random(pub u64);
 
 impl Random {
     /// Uniform in [0, 1).
     pub fn next(&mut self) -> f64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut z = self.0;
-        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+        self.0 = self.0.wrapping_add(GOLDEN);
+        (scattered(self.0) >> 11) as f64 / (1u64 << 53) as f64
     }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,7 +5,7 @@
 //! "Kasera" is "Robust Multiclass Signaling Overload Control"; departures from it are marked as such.
 
 use crate::api::*;
-use crate::numbers::{mix, sane, sane_plan, Random, Rate};
+use crate::numbers::{mix, sane, sane_plan, subset, Random, Rate};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -54,8 +54,12 @@
 const BACK_COLD: f64 = 6.0;
 /// Seconds of memory of rates of asks, sends and answers (ours).
 const RATE_MEMORY: f64 = 3.0;
-/// Weights in the choice of server: of the price of crossing zones, of a second try there, of chance (ours).
-const CHOICE: (f64, f64, f64) = (4.0, 10.0, 0.1);
+/// Weights in the choice of server: of the price of crossing zones, of a second try there, of chance, of one that is
+/// not preferred (ours: two of the others would be busy).
+const CHOICE: (f64, f64, f64, f64) = (4.0, 10.0, 0.1, 3.0);
+/// Servers that a gateway prefers: so many, so that it knows them and its connections to them stay in use, or
+/// more where the gateways are few, so that so many of them share each server (ours).
+const SUBSET: (f64, f64) = (9.0, 4.0);
 /// Attempts a server may always have out from all gateways (ours); beyond, its answer rate bounds them ...
 const OUT_LEAST: f64 = 3.0;
 /// ... and from this gateway alone (ours: its equal part would be one at each server, which a gateway with
@@ -296,6 +300,8 @@
     /// not said so; and whether it has been sent nothing since.
     back: Option<Time>,
     owed: bool,
+    /// Among those that this gateway prefers.
+    near: bool,
 }
 
 impl Server {
@@ -327,13 +333,14 @@
         (self.info.capacity / mean).clamp(0.1, 10.0)
     }
 
-    /// Whether a cold server may take a send: it gets its part of what a warm one is sent, as `rate` tells.
+    /// Whether a cold server may take a send: it gets its part of what a warm one is sent, as `rate` tells, from
+    /// those that prefer it.
     fn takes_cold(&mut self, now: Time, rate: f64, cfg: &Settings) -> bool {
         // With what comes while it is spent, less than what it can do in the window by a margin.
         let most = (0.5 * rate * cfg.cold_window.as_secs_f64()).max(1.0);
         self.cold_tokens = (self.cold_tokens + now.since(self.cold_at) * rate).min(most);
         self.cold_at = now;
-        self.cold_tokens >= 1.0
+        self.cold_tokens >= 1.0 && (self.near || self.owed)
     }
 
     /// Own slowness, forgotten towards what its kind of machine shows.
@@ -703,6 +710,7 @@
             }
             Event::Disabled(server) => {
                 self.disabled.entry(server).or_insert(self.now);
+                self.share_out();
             }
             Event::Enabled(server) => self.enable(server),
             Event::Elsewhere(news) => self.elsewhere(news),
@@ -740,6 +748,22 @@
                 server.info = info;
             }
         }
+        self.share_out();
+    }
+
+    /// Chooses the servers that this gateway prefers (deterministic subsetting), of each zone its part.
+    fn share_out(&mut self) {
+        let mut zones: BTreeMap<u32, Vec<u32>> = BTreeMap::new();
+        self.usable().for_each(|s| zones.entry(s.info.zone).or_default().push(s.info.id.0));
+        let (gateways, count) = (self.cfg.gateways, self.usable().count() as f64);
+        let part = (SUBSET.1 / f64::from(gateways)).max(SUBSET.0 / count.max(1.0)).min(1.0);
+        self.servers.values_mut().for_each(|s| s.near = false);
+        for mut zone in zones.into_values() {
+            let own = (part * zone.len() as f64).ceil() as usize;
+            for &id in subset(&mut zone, self.cfg.number, gateways, own) {
+                self.servers.entry(ServerId(id)).and_modify(|s| s.near = true);
+            }
+        }
     }
 
     /// Puts a server back. What was learnt of it is of another life: it counts as cold until the list has had
@@ -752,6 +776,7 @@
             let (elsewhere, cold_tokens) = (server.elsewhere, self.random.next());
             *server = Server { out, elsewhere, back, owed: true, cold_tokens, ..Server::new(info, now) };
         }
+        self.share_out();
     }
 
     fn arrive(&mut self, new: NewRequest, actions: &mut Vec<Action>) {
@@ -979,7 +1004,8 @@
         let typical = self.latency[request.class].max(1e-6);
         let life = now.since(self.started.unwrap_or(now)).clamp(1.0, RATE_MEMORY);
         // What a warm one is sent when each gets its part; a mean over all would sink with the cold ones.
-        let warm: f64 = self.usable().map(|s| s.size(mean_size) * s.warmth(now, &self.cfg)).sum();
+        let warm: f64 =
+            self.usable().filter(|s| s.near).map(|s| s.size(mean_size) * s.warmth(now, &self.cfg)).sum();
         let warm_rate = self.sends / life / f64::max(warm, 0.1);
         let noise: Vec<f64> = (0..self.servers.len()).map(|_| self.random.next()).collect();
         let mut best: Option<(f64, ServerId)> = None;
@@ -997,12 +1023,8 @@
                 continue;
             }
             let kind = self.kinds.get(&s.info.kind).map_or(1.0, |kind| kind.0);
-            let silence = s
-                .out
-                .first()
-                .filter(|o| !o.passing && s.last_answer < o.sent)
-                .map_or(0.0, |o| now.since(o.sent));
-            let slow = s.slowness(now, kind).max(silence / typical);
+            let silent = s.out.first().filter(|o| !o.passing && s.last_answer < o.sent);
+            let slow = s.slowness(now, kind).max(silent.map_or(0.0, |o| now.since(o.sent)) / typical);
             let at = |sick: Option<&Sick>| sick.map_or(0.0, |sick| sick.get(now));
             let sick = at(s.sick.get(&request.class)) + at(self.zones.get(&s.info.zone));
             let load = 1.0 + (out + s.backlog(now)) / (size * warmth);
@@ -1014,6 +1036,7 @@
                 * (1.0 + CHOICE.0 * abroad)
                 * again
                 * (1.0 + CHOICE.2 * noise)
+                * if s.near { 1.0 } else { CHOICE.3 }
                 * if s.owed { 0.0 } else { 1.0 };
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, s.info.id));
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -13,6 +13,7 @@
     let effect = Effect::Keyed { group: Group::Cell, window: ms(5000) };
     let settings = Settings {
         gateways: 1,
+        number: 0,
         zone: 0,
         classes: vec![Class { aim: ms(800), deadline: ms(3000), worth: 1.0, effect }],
         plans: vec![Plan { rate: 1e6, burst: 1e6, price: 1.0, ..Plan::default() }],
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -24,6 +24,7 @@
 pub fn settings(classes: Vec<Class>, plans: Vec<Plan>) -> Settings {
     Settings {
         gateways: 2,
+        number: 0,
         zone: 0,
         classes,
         plans,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -3,6 +3,7 @@
 mod common;
 use cherrypulley::*;
 use common::*;
+use std::collections::BTreeSet;
 
 fn safe() -> Vec<Class> {
     vec![class(Effect::Safe, 1.0)]
@@ -839,3 +840,66 @@
     assert!(first < 0.5, "{first}: a jam it was");
     assert!(then > 0.9, "{then} let in three seconds later");
 }
+
+/// The servers that each of so many gateways sends to, of the listed ones, when each answers at once.
+fn sets(gateways: u32, listed: &[u32]) -> Vec<BTreeSet<u32>> {
+    let set = |number| {
+        let cfg = Settings { gateways, number, ..settings(safe(), vec![roomy()]) };
+        let mut door = Door::seeded(cfg, 0, u64::from(number));
+        door.list(Scope::Full, listed.iter().map(|&id| ServerInfo { zone: id % 3, ..server(id) }).collect());
+        (0..200).filter_map(|_| door.serve(0, 0, 1, 20)).map(|server| server.0).collect()
+    };
+    (0..gateways).map(set).collect()
+}
+
+/// A hundred gateways that choose over sixty servers know none of them and open thousands of connections. Each prefers
+/// a few, all servers have as many gateways, no zone is left out, and a server replaced moves few.
+#[test]
+fn many_gateways_each_prefer_a_few_servers_and_cover_all_evenly() {
+    let listed: Vec<u32> = (0..60).map(|n| n * 7919 + 5).collect();
+    let before = sets(100, &listed);
+    for set in &before {
+        assert!((6..=12).contains(&set.len()), "{set:?}");
+        assert_eq!(set.iter().map(|id| id % 3).collect::<BTreeSet<_>>().len(), 3, "of every zone: {set:?}");
+    }
+    let takers = |id: &u32| before.iter().filter(|set| set.contains(id)).count();
+    let (least, most) = (listed.iter().map(takers).min(), listed.iter().map(takers).max());
+    assert!(least >= Some(11) && most <= Some(18), "{least:?} to {most:?} gateways a server");
+    let replaced: Vec<u32> = listed.iter().map(|&id| if id == 5 { 6 * 7919 + 2 } else { id }).collect();
+    let after = sets(100, &replaced);
+    let moved: usize = before.iter().zip(&after).map(|(a, b)| a.difference(b).count()).sum();
+    assert!(moved <= 100, "{moved} of 900 places moved for one server");
+}
+
+/// The same choice with a few gateways: each needs all servers, as there are no others to share the work.
+#[test]
+fn few_gateways_use_all_servers() {
+    assert!(sets(3, &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11]).iter().all(|set| set.len() == 12));
+    // Odd settings are harmless.
+    let odd = Settings { gateways: u32::MAX, number: u32::MAX, ..settings(safe(), vec![roomy()]) };
+    assert!(Door::new(odd, 40).serve(0, 0, 1, 20).is_some());
+    let none = Settings { gateways: 0, number: 7, ..settings(safe(), vec![roomy()]) };
+    assert!(Door::new(none, 2).serve(0, 0, 1, 20).is_some());
+}
+
+/// A gateway whose own servers all fail sends to the others.
+#[test]
+fn a_set_whose_servers_fail_is_widened() {
+    let cfg = Settings { gateways: 100, ..settings(safe(), vec![roomy()]) };
+    let mut door = Door::new(cfg, 60);
+    let own: BTreeSet<_> = (0..100).filter_map(|_| door.serve(0, 0, 1, 20)).collect();
+    assert!(own.len() <= 12, "{own:?}");
+    let mut served = 0;
+    for _ in 0..100 {
+        let (id, actions) = door.request(0, 0, 1);
+        let mut to = sent(&actions);
+        for attempt in 0..4 {
+            let Some(server) = to else { break };
+            let status = if own.contains(&server) { Status::ConnectFailed } else { Status::Ok };
+            served += u32::from(status == Status::Ok);
+            to = sent(&door.settle(id, attempt, status, 5));
+        }
+        door.pass(20);
+    }
+    assert!(served >= 80, "{served} of 100");
+}
