Start new watches scattered over a round of all gateways, and go on by version when busy

Checked: a temporary line for each call: 107 calls fail in the third second, after 2 s in the queue, and from then on 50 to 80 in every second; not one whole list came through. Discovery bears some 20 new watches a second and works on calls that have been given up; the 100 came together. At fault: Discovery::watch, which started at once, asked for the whole list (three times the lines) after a 503 though what it held was good, gave such a call up after 1 s where the queue takes 2 s, and came back after a second at most with no scatter. Going on by version with a scatter of the same pauses alone gave no gain: it has to be less.

Now a gateway that holds a list starts its watch within 35 ms times the gateways, by chance (3 gateways: 0.1 s at most); after a busy answer it asks by version, after such a round; a call that waits its turn is waited for.

--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -3,7 +3,7 @@
 use crate::engine::Engine;
 use crate::log::log;
 use crate::upstream::{collect, Link};
-use cherrypulley::{Event, Lifecycle, Scope, ServerId, ServerInfo, Time};
+use cherrypulley::{Event, Lifecycle, Random, Scope, ServerId, ServerInfo, Time};
 use hyper::{Request, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -22,8 +22,31 @@
 /// is asked for after a failed call: a further watch would take all of the wait again to find the agent silent, while
 /// servers come and go. Covers agents that lose single calls and short outages; costs a long list after each failure.
 const PATIENCE: Duration = Duration::from_secs(1);
+/// ... or so many of the last pauses: where many gateways ask one discovery, a call waits its turn, and each that is
+/// given up too early is work for nothing, which keeps the others waiting.
+const PATIENT_PAUSES: u32 = 3;
 /// Pauses after failed calls.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+/// Time in which discovery is counted on to answer one gateway's new watch. All of them start one when they have been
+/// restarted together or turned away together, and discovery works on calls too that have been given up: with less
+/// time between them it gets to none before its caller has gone.
+const TURN: Duration = Duration::from_millis(35);
+/// ... and the most of them that it is reckoned for, so that an odd setting stops nothing.
+const GATEWAYS_MOST: u32 = 300;
+
+/// Why a call brought no list.
+enum Failed {
+    /// The agent lives and turned the call away, as discovery has too many: what is held is as good as before, and a
+    /// whole list would cost it far more than what has changed.
+    Busy,
+    Otherwise(String),
+}
+
+impl<E: std::fmt::Display> From<E> for Failed {
+    fn from(cause: E) -> Failed {
+        Failed::Otherwise(cause.to_string())
+    }
+}
 
 /// A list of servers as discovery words it.
 #[derive(Debug, Deserialize)]
@@ -161,6 +184,16 @@
     }
 }
 
+/// The time in which each of so many gateways has its turn with discovery.
+fn round(gateways: u32) -> Duration {
+    TURN * gateways.min(GATEWAYS_MOST)
+}
+
+/// When a gateway has its turn: they cannot agree on it, so each takes one by chance.
+fn turn(round: Duration, random: &mut Random) -> Duration {
+    round.mul_f64(random.next())
+}
+
 /// Follows the list and tells the engine.
 pub struct Discovery {
     engine: Rc<Engine>,
@@ -170,6 +203,10 @@
     kinds: Names,
     ids: Rc<RefCell<Ids>>,
     version: Option<u64>,
+    /// Scatters what many gateways would else do at the same time.
+    random: Random,
+    /// The time in which all gateways have had their turn.
+    round: Duration,
     /// An entry that could not be read has been logged.
     spoilt: bool,
 }
@@ -180,6 +217,8 @@
         agents: watch::Receiver<SocketAddr>,
         zones: Vec<String>,
         kinds: Vec<String>,
+        gateways: u32,
+        seed: u64,
     ) -> Discovery {
         Discovery {
             engine,
@@ -188,6 +227,8 @@
             kinds: Names(kinds),
             ids: Rc::default(),
             version: None,
+            random: Random(seed),
+            round: round(gateways),
             spoilt: false,
         }
     }
@@ -287,26 +328,42 @@
     async fn watch(&mut self, agent: SocketAddr, held: impl Fn()) {
         let mut link = None;
         let mut pause = BACKOFF.0;
-        let mut quiet = false;
+        let (mut quiet, mut whole) = (false, false);
+        if self.version.is_some() {
+            // There is a list to go on with, and the other gateways may have been restarted too.
+            sleep(turn(self.round, &mut self.random)).await;
+        }
         loop {
-            let since = self.version.filter(|_| !quiet);
+            let since = self.version.filter(|_| !whole);
             let wait = since.map_or(Duration::ZERO, |_| WAIT);
-            match timeout(wait + PATIENCE, self.call(agent, since, &mut link)).await {
+            let patience = wait + PATIENCE.max(pause * PATIENT_PAUSES);
+            let cause = match timeout(patience, self.call(agent, since, &mut link)).await {
                 Ok(Ok(list)) => {
                     self.told(list);
                     held();
-                    (pause, quiet) = (BACKOFF.0, false);
+                    (pause, quiet, whole) = (BACKOFF.0, false, false);
                     // At once: a watch goes on only if the next call comes within 200 ms.
                     continue;
                 }
-                // The old list stands. One line for a whole outage, however many calls fail in it.
-                Ok(Err(cause)) if !quiet => log(format_args!("discovery: {cause}")),
-                Err(_) if !quiet => log(format_args!("discovery: no answer")),
-                _ => {}
+                Ok(Err(Failed::Busy)) => {
+                    pause = pause.max(self.round);
+                    "busy".to_owned()
+                }
+                Ok(Err(Failed::Otherwise(cause))) => {
+                    (link, whole) = (None, true);
+                    cause
+                }
+                Err(_) => {
+                    (link, whole) = (None, true);
+                    "no answer".to_owned()
+                }
+            };
+            // The old list stands. One line for a whole outage, however many calls fail in it.
+            if !std::mem::replace(&mut quiet, true) {
+                log(format_args!("discovery: {cause}"));
             }
-            (link, quiet) = (None, true);
-            sleep(pause).await;
-            pause = (pause * 2).min(BACKOFF.1);
+            sleep(pause.mul_f64(0.5 + self.random.next())).await;
+            pause = (pause * 2).min(BACKOFF.1.max(self.round));
         }
     }
 
@@ -316,7 +373,7 @@
         agent: SocketAddr,
         since: Option<u64>,
         link: &mut Option<Link>,
-    ) -> Result<HostList, String> {
+    ) -> Result<HostList, Failed> {
         let path = match since {
             Some(version) => format!("/discovery/hosts?since={version}&timeout_ms={}", WAIT.as_millis()),
             None => "/discovery/hosts".to_owned(),
@@ -329,15 +386,19 @@
         }
         let link = match link {
             Some(kept) => kept,
-            None => link.insert(Link::open(agent, PATIENCE, None).await.map_err(|e| e.to_string())?),
+            None => link.insert(Link::open(agent, PATIENCE, None).await?),
         };
         let request = Request::get(path).header("host", agent.to_string()).body(Default::default());
-        let answer = link.send(request.map_err(|e| e.to_string())?).await.map_err(|e| e.to_string())?;
-        if answer.status() != StatusCode::OK {
-            return Err(format!("answered {}", answer.status()));
-        }
+        let answer = link.send(request?).await?;
+        let status = answer.status();
         let body = collect(answer.into_body()).await.ok_or("an answer that is cut off or too long")?;
-        serde_json::from_slice(&body).map_err(|e| format!("malformed list: {e}"))
+        match status {
+            StatusCode::OK => {
+                serde_json::from_slice(&body).map_err(|e| format!("malformed list: {e}").into())
+            }
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Err(Failed::Busy),
+            _ => Err(format!("answered {status}").into()),
+        }
     }
 }
 
@@ -362,6 +423,20 @@
         assert_eq!(Some(ids.number("s-0")), first, "the same again, as after a restart");
     }
 
+    /// A hundred gateways that were killed together all started a watch in the same instant.
+    #[test]
+    fn many_gateways_that_start_together_call_one_after_another() {
+        let mut calls = vec![0; 40];
+        for seed in 0..100_u64 {
+            let at = turn(round(100), &mut Random(seed));
+            calls[(at.as_millis() / 100) as usize] += 1;
+        }
+        assert!(calls.iter().all(|&calls| calls <= 12), "in 100 ms each: {calls:?}");
+        assert!(turn(round(3), &mut Random(1)) < Duration::from_millis(150), "a few need not wait");
+        assert_eq!(round(0), Duration::ZERO);
+        assert!(round(u32::MAX) < Duration::from_secs(15));
+    }
+
     #[test]
     fn names_without_end_do_not_grow_the_list() {
         let mut names = Names(vec!["sala-a".to_owned(), "sala-b".to_owned()]);
--- a/gateway/tests/lifecycle.rs
+++ b/gateway/tests/lifecycle.rs
@@ -136,6 +136,26 @@
     assert_eq!(gateway.client().ask(&saldo("w", "3")).text(), "b");
 }
 
+/// Discovery that turns calls away has too many of them: whole lists, asked for again and again, kept it there.
+#[test]
+fn after_a_busy_answer_the_watch_goes_on_from_the_version_that_is_held() {
+    let servers = [Stub::start(|_| ok("a")), Stub::start(|_| ok("b"))];
+    let (gateway, agent) = Running::before(&[&servers[0]]);
+    agent.watched(1);
+    let calls = agent.stub.requests();
+    for _ in 0..3 {
+        agent.tell(Reply::Answer(503, "", String::new()));
+    }
+    until("it asks again each time", || agent.stub.requests() >= calls + 3);
+    for call in &agent.stub.seen.lock().unwrap()[calls..] {
+        assert!(call.line[1].starts_with("/discovery/hosts?since=1&"), "{:?}", call.line);
+    }
+    agent.tell(ok(&list(5, true, &serving(&[&servers[1]]))));
+    agent.watched(5);
+    assert_eq!(gateway.client().ask(&saldo("w", "3")).text(), "b");
+    assert_eq!(gateway.log().matches("discovery: busy").count(), 1, "one line: {}", gateway.log());
+}
+
 #[test]
 fn sigterm_answers_what_was_taken_and_what_still_comes() {
     let server = Stub::start(|_| Reply::Silence);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,4 +61,5 @@
 mod rules;
 
 pub use api::*;
+pub use numbers::Random;
 pub use rules::{Gateway, Memory};
