Scatter new watches only where discovery must be asked

At fault: a gateway that comes back waited for its turn also where changes come unasked (`push`): there a watch costs discovery nothing, and what it has to tell counts as told at once. Random::next is called uniform, as it is public now.

--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -3,7 +3,7 @@
 use crate::engine::Engine;
 use crate::log::log;
 use crate::upstream::{collect, Link};
-use cherrypulley::{Event, Lifecycle, Random, Scope, ServerId, ServerInfo, Time};
+use cherrypulley::{Discovery as Method, Event, Lifecycle, Random, Scope, ServerId, ServerInfo, Time};
 use hyper::{Request, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -22,9 +22,9 @@
 /// is asked for after a failed call: a further watch would take all of the wait again to find the agent silent, while
 /// servers come and go. Covers agents that lose single calls and short outages; costs a long list after each failure.
 const PATIENCE: Duration = Duration::from_secs(1);
-/// ... or so many of the last pauses: where many gateways ask one discovery, a call waits its turn, and each that is
-/// given up too early is work for nothing, which keeps the others waiting.
-const PATIENT_PAUSES: u32 = 3;
+/// ... or this long after a busy answer: a call waits its turn then, and each that is given up too early is work for
+/// nothing, which keeps the others waiting.
+const BUSY_PATIENCE: Duration = Duration::from_secs(3);
 /// Pauses after failed calls.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 /// Time in which discovery is counted on to answer one gateway's new watch. All of them start one when they have been
@@ -184,14 +184,18 @@
     }
 }
 
-/// The time in which each of so many gateways has its turn with discovery.
-fn round(gateways: u32) -> Duration {
-    TURN * gateways.min(GATEWAYS_MOST)
+/// The time in which each gateway has its turn with a discovery that must be asked. Where changes come unasked a watch
+/// costs it nothing, and what it has to tell counts as told at once.
+fn round(method: Method, gateways: u32) -> Duration {
+    match method {
+        Method::Ask => TURN * gateways.min(GATEWAYS_MOST),
+        Method::Push => Duration::ZERO,
+    }
 }
 
 /// When a gateway has its turn: they cannot agree on it, so each takes one by chance.
 fn turn(round: Duration, random: &mut Random) -> Duration {
-    round.mul_f64(random.next())
+    round.mul_f64(random.uniform())
 }
 
 /// Follows the list and tells the engine.
@@ -217,7 +221,7 @@
         agents: watch::Receiver<SocketAddr>,
         zones: Vec<String>,
         kinds: Vec<String>,
-        gateways: u32,
+        (method, gateways): (Method, u32),
         seed: u64,
     ) -> Discovery {
         Discovery {
@@ -228,7 +232,7 @@
             ids: Rc::default(),
             version: None,
             random: Random(seed),
-            round: round(gateways),
+            round: round(method, gateways),
             spoilt: false,
         }
     }
@@ -328,7 +332,7 @@
     async fn watch(&mut self, agent: SocketAddr, held: impl Fn()) {
         let mut link = None;
         let mut pause = BACKOFF.0;
-        let (mut quiet, mut whole) = (false, false);
+        let (mut quiet, mut whole, mut busy) = (false, false, false);
         if self.version.is_some() {
             // There is a list to go on with, and the other gateways may have been restarted too.
             sleep(turn(self.round, &mut self.random)).await;
@@ -336,7 +340,8 @@
         loop {
             let since = self.version.filter(|_| !whole);
             let wait = since.map_or(Duration::ZERO, |_| WAIT);
-            let patience = wait + PATIENCE.max(pause * PATIENT_PAUSES);
+            let patience = wait + if busy { BUSY_PATIENCE } else { PATIENCE };
+            busy = false;
             let cause = match timeout(patience, self.call(agent, since, &mut link)).await {
                 Ok(Ok(list)) => {
                     self.told(list);
@@ -346,7 +351,7 @@
                     continue;
                 }
                 Ok(Err(Failed::Busy)) => {
-                    pause = pause.max(self.round);
+                    busy = true;
                     "busy".to_owned()
                 }
                 Ok(Err(Failed::Otherwise(cause))) => {
@@ -362,8 +367,9 @@
             if !std::mem::replace(&mut quiet, true) {
                 log(format_args!("discovery: {cause}"));
             }
-            sleep(pause.mul_f64(0.5 + self.random.next())).await;
-            pause = (pause * 2).min(BACKOFF.1.max(self.round));
+            let apart = if busy { pause.max(self.round) } else { pause };
+            sleep(apart.mul_f64(0.5 + self.random.uniform())).await;
+            pause = (pause * 2).min(BACKOFF.1);
         }
     }
 
@@ -428,13 +434,17 @@
     fn many_gateways_that_start_together_call_one_after_another() {
         let mut calls = vec![0; 40];
         for seed in 0..100_u64 {
-            let at = turn(round(100), &mut Random(seed));
+            let at = turn(round(Method::Ask, 100), &mut Random(seed));
             calls[(at.as_millis() / 100) as usize] += 1;
         }
         assert!(calls.iter().all(|&calls| calls <= 12), "in 100 ms each: {calls:?}");
-        assert!(turn(round(3), &mut Random(1)) < Duration::from_millis(150), "a few need not wait");
-        assert_eq!(round(0), Duration::ZERO);
-        assert!(round(u32::MAX) < Duration::from_secs(15));
+        assert!(
+            turn(round(Method::Ask, 3), &mut Random(1)) < Duration::from_millis(150),
+            "a few need not wait"
+        );
+        assert_eq!(round(Method::Push, 100), Duration::ZERO, "what it has to tell counts as told");
+        assert_eq!(round(Method::Ask, 0), Duration::ZERO);
+        assert!(round(Method::Ask, u32::MAX) < Duration::from_secs(15));
     }
 
     #[test]
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -115,8 +115,8 @@
 
     let (agent, agents) = watch::channel(config.discovery);
     spawn_local(reload(hangup, agent));
-    let mut discovery =
-        Discovery::new(engine.clone(), agents, site.zones, site.kinds, site.settings.gateways, config.seed);
+    let fleet = (site.settings.discovery, site.settings.gateways);
+    let mut discovery = Discovery::new(engine.clone(), agents, site.zones, site.kinds, fleet, config.seed);
     let operations = Operations { engine: engine.clone(), front: front.clone(), ids: discovery.ids() };
     let operations = Rc::new(operations);
     let known = config.known.take();
--- a/src/numbers.rs
+++ b/src/numbers.rs
@@ -91,7 +91,7 @@
 
 impl Random {
     /// Uniform in [0, 1).
-    pub fn next(&mut self) -> f64 {
+    pub fn uniform(&mut self) -> f64 {
         self.0 = self.0.wrapping_add(GOLDEN);
         (scattered(self.0) >> 11) as f64 / (1u64 << 53) as f64
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -738,7 +738,7 @@
             let restarted = self.servers.get(&info.id).is_some_and(|s| s.info.started != info.started);
             let now = self.now;
             // A part of a first send by chance: hundreds of gateways send a cold server its part together.
-            let part = self.random.next();
+            let part = self.random.uniform();
             let fresh = |info: ServerInfo| Server { cold_tokens: part, ..Server::new(info, now) };
             let server = self.servers.entry(info.id).or_insert_with(|| fresh(info.clone()));
             if restarted {
@@ -773,7 +773,7 @@
         if let Some(server) = self.servers.get_mut(&id) {
             let (out, info) = (std::mem::take(&mut server.out), server.info.clone());
             let back = info.started.is_none_or(|started| started < since).then_some(now);
-            let (elsewhere, cold_tokens) = (server.elsewhere, self.random.next());
+            let (elsewhere, cold_tokens) = (server.elsewhere, self.random.uniform());
             *server = Server { out, elsewhere, back, owed: true, cold_tokens, ..Server::new(info, now) };
         }
         self.share_out();
@@ -797,7 +797,7 @@
         self.units[new.class.0] = mix(self.units[new.class.0], units, LATENCY_WEIGHT);
         let meter = self.cfg.meter_period.as_secs_f64();
         let (most_worth, chance, latency) =
-            (self.most_worth(), self.random.next(), self.latency[new.class.0]);
+            (self.most_worth(), self.random.uniform(), self.latency[new.class.0]);
         let held = latency / self.units[new.class.0].max(1e-6);
         let Some(customer) = self.customer(new.customer, new.plan, new.gateways) else { return };
         // Departure: a customer's last units are left to the dearer class, as worth decides under load too.
@@ -1007,7 +1007,7 @@
         let warm: f64 =
             self.usable().filter(|s| s.near).map(|s| s.size(mean_size) * s.warmth(now, &self.cfg)).sum();
         let warm_rate = self.sends / life / f64::max(warm, 0.1);
-        let noise: Vec<f64> = (0..self.servers.len()).map(|_| self.random.next()).collect();
+        let noise: Vec<f64> = (0..self.servers.len()).map(|_| self.random.uniform()).collect();
         let mut best: Option<(f64, ServerId)> = None;
         for (s, noise) in self.servers.values_mut().zip(noise) {
             if s.info.lifecycle != Lifecycle::Running
