--- a/src/rules.rs
+++ b/src/rules.rs
@@ -54,8 +54,8 @@
 const BACK_COLD: f64 = 6.0;
 /// Seconds of memory of rates of asks, sends and answers (ours).
 const RATE_MEMORY: f64 = 3.0;
-/// Weights in the choice of server: of the price of crossing zones, of a second try there, of chance, of one that is
-/// not preferred (ours: two of the others would be busy).
+/// Weights in the choice of server: of the price of crossing zones, of a second try there, of chance, of one
+/// that is not preferred (ours: two of the others would be busy).
 const CHOICE: (f64, f64, f64, f64) = (4.0, 10.0, 0.1, 3.0);
 /// Servers that a gateway prefers: so many, so that it knows them and its connections to them stay in use, or
 /// more where the gateways are few, so that so many of them share each server (ours).
@@ -333,8 +333,8 @@
         (self.info.capacity / mean).clamp(0.1, 10.0)
     }
 
-    /// Whether a cold server may take a send: it gets its part of what a warm one is sent, as `rate` tells, from
-    /// those that prefer it.
+    /// Whether a cold server may take a send: it gets its part of what a warm one is sent, as `rate` tells,
+    /// from those that prefer it.
     fn takes_cold(&mut self, now: Time, rate: f64, cfg: &Settings) -> bool {
         // With what comes while it is spent, less than what it can do in the window by a margin.
         let most = (0.5 * rate * cfg.cold_window.as_secs_f64()).max(1.0);
