Send to a cold server first when its part is due

The part reckoned is right; but at 100 gateways it is a send in 5 s for each, no more than one is saved up, and when it is due the cold server is one of nine that are free: it waits 2 s for its turn, and that time is lost. Saving up two was ruled out: fifteen gateways could spend them at once. At fault: the cost in Gateway::pick, alike for a cold server that is due and any other.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -55,8 +55,8 @@
 /// Seconds of memory of rates of asks, sends and answers (ours).
 const RATE_MEMORY: f64 = 3.0;
 /// Weights in the choice of server: of the price of crossing zones, of a second try there, of chance, of one
-/// that is not preferred (ours: two of the others would be busy).
-const CHOICE: (f64, f64, f64, f64) = (4.0, 10.0, 0.1, 3.0);
+/// that is not preferred (ours: two of the others would be busy), of a cold one that is due its part (ours).
+const CHOICE: (f64, f64, f64, f64, f64) = (4.0, 10.0, 0.1, 3.0, 0.5);
 /// Servers that a gateway prefers: so many, so that it knows them and its connections to them stay in use, or
 /// more where the gateways are few, so that so many of them share each server (ours).
 const SUBSET: (f64, f64) = (9.0, 4.0);
@@ -1037,6 +1037,7 @@
                 * again
                 * (1.0 + CHOICE.2 * noise)
                 * if s.near { 1.0 } else { CHOICE.3 }
+                * if warmth < 1.0 { CHOICE.4 } else { 1.0 }
                 * if s.owed { 0.0 } else { 1.0 };
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, s.info.id));
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -903,3 +903,30 @@
     }
     assert!(served >= 80, "{served} of 100");
 }
+
+/// A cold server's part is a send now and then from each of many gateways. Where it waited for its turn among all servers
+/// that were free, what it could have had meanwhile was lost, and the warm ones drowned beside it.
+#[test]
+fn cold_servers_get_their_part_from_many_gateways() {
+    let (mut to_cold, mut all) = (0, 0);
+    for number in 0..100 {
+        let cfg = Settings { gateways: 100, number, ..settings(safe(), vec![roomy()]) };
+        let mut door = Door::seeded(cfg, 60, u64::from(number));
+        let mut serve = |door: &mut Door| {
+            let server = door.serve(0, 0, 1, 20);
+            door.pass(230);
+            server
+        };
+        (0..20).for_each(|_| drop(serve(&mut door)));
+        let started = Some(Time(door.now));
+        door.list(Scope::Delta, (0..30).map(|id| ServerInfo { started, ..server(id) }).collect());
+        for _ in 0..16 {
+            let server = serve(&mut door).expect("all are let in");
+            (to_cold, all) = (to_cold + u32::from(server.0 < 30), all + 1);
+        }
+    }
+    // They warm evenly from a fifth in ten seconds, of which these are the first four.
+    let part = 0.36 / 1.36;
+    let share = f64::from(to_cold) / f64::from(all);
+    assert!((0.75 * part..1.15 * part).contains(&share), "{share} of {part}");
+}
