Take no repeat for a first ask where nothing is known of its customer

At fault: Gateway::arrive. What a gateway has been asked itself bounds what it lets in beyond its slice, so a customer that it has not met passes, and one that 75 others know to be over its quota finds such a gateway with its next try.

A repeat now counts as asked before it is judged where no reading of the meter is known of its customer. Where a third of its requests come through here (3 gateways) most still pass.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -804,8 +804,12 @@
         // Hurts the cheaper class; the least slice's store, when full, lets it in all the same.
         let dearer = units * most_worth / sane(class.worth).max(1e-9);
         let needs = dearer.min(plan.burst / customer.gateways).max(units);
+        // Departure: a repeat was refused, maybe where its quota is known to be used. Where nothing is known of
+        // its customer it is no first ask, or each of many gateways lets in what another has refused.
+        let refused = if new.repeat && customer.meter.is_none() { units } else { 0.0 };
+        customer.asked.add(now, refused);
         let inside = customer.inside(now, needs, meter, held, chance);
-        customer.asked.add(now, units);
+        customer.asked.add(now, units - refused);
         // The ceiling is kept alone: an own part of it, empty at the start of each life.
         let capped = plan.ceiling_rate > 0.0 && customer.ceiling < units;
         if capped || !(inside || plan.over_worth > plan.over_cost) {
@@ -1010,10 +1014,8 @@
         let noise: Vec<f64> = (0..self.servers.len()).map(|_| self.random.uniform()).collect();
         let mut best: Option<(f64, ServerId)> = None;
         for (s, noise) in self.servers.values_mut().zip(noise) {
-            if s.info.lifecycle != Lifecycle::Running
-                || self.disabled.contains_key(&s.info.id)
-                || !fits(&s.info)
-            {
+            let usable = s.info.lifecycle == Lifecycle::Running && !self.disabled.contains_key(&s.info.id);
+            if !usable || !fits(&s.info) {
                 continue;
             }
             let (size, warmth, out) = (s.size(mean_size), s.warmth(now, &self.cfg), s.held());
