--- a/src/rules.rs
+++ b/src/rules.rs
@@ -804,8 +804,8 @@
         // Hurts the cheaper class; the least slice's store, when full, lets it in all the same.
         let dearer = units * most_worth / sane(class.worth).max(1e-9);
         let needs = dearer.min(plan.burst / customer.gateways).max(units);
-        // Departure: a repeat was refused, maybe where its quota is known to be used. Where nothing is known of
-        // its customer it is no first ask, or each of many gateways lets in what another has refused.
+        // Departure: a repeat was refused, maybe where its quota is known to be used. Where nothing is known
+        // of its customer it is no first ask, or each of many gateways lets in what another has refused.
         let refused = if new.repeat && customer.meter.is_none() { units } else { 0.0 };
         customer.asked.add(now, refused);
         let inside = customer.inside(now, needs, meter, held, chance);
