Add a crate for a request's time: one budget, and a ledger of where it went

Need: a request's time was reckoned in pieces (X-Expires-In less a margin in the front, `until` in the engine, the connect time-out and the rest header in upstream, constants for SIGTERM), and no one value said how much was left or where it went.

Ledger adds up stages and ends for Prometheus.

--- /dev/null
+++ b/budget/src/ledger.rs
@@ -0,0 +1,201 @@
+//! What became of all budgets, for the operators.
+
+use crate::{Budget, Stage};
+use cherrypulley::Time;
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
+};
+
+/// How a budget ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// With a server's answer, all of which the client took.
+    Answered,
+    /// Refused or failed with nothing written to any server: for want of quota, of room or of time.
+    BeforeSend,
+    /// Refused or failed after at least one attempt.
+    InAttempt,
+    /// The client left before it had its answer.
+    ClientGone,
+}
+
+impl End {
+    const ALL: [End; 4] = [End::Answered, End::BeforeSend, End::InAttempt, End::ClientGone];
+
+    fn name(self) -> &'static str {
+        match self {
+            End::Answered => "answered",
+            End::BeforeSend => "given_up_before_send",
+            End::InAttempt => "given_up_in_attempt",
+            End::ClientGone => "client_gone",
+        }
+    }
+}
+
+/// Upper bounds of the classes into which times are counted, in seconds: from what a busy core adds to the longest
+/// deadline and the longest that is waited for a client that reads nothing.
+const BOUNDS: [f64; 10] = [0.001, 0.005, 0.025, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0];
+
+struct Class {
+    stages: [Histogram; Stage::ALL.len()],
+    left: Histogram,
+    ends: [IntCounter; End::ALL.len()],
+    first: IntCounter,
+    further: IntCounter,
+    withheld: IntCounter,
+}
+
+/// Totals for each class of requests. What they are labelled with is fixed at the start, so that their number is.
+pub struct Ledger {
+    registry: Registry,
+    classes: Vec<Class>,
+}
+
+fn histograms(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> prometheus::Result<HistogramVec> {
+    let histograms = HistogramVec::new(HistogramOpts::new(name, help).buckets(BOUNDS.to_vec()), labels)?;
+    registry.register(Box::new(histograms.clone()))?;
+    Ok(histograms)
+}
+
+fn counters(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> prometheus::Result<IntCounterVec> {
+    let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+    registry.register(Box::new(counters.clone()))?;
+    Ok(counters)
+}
+
+impl Ledger {
+    /// For the classes of these names, in the order of their numbers.
+    pub fn new(classes: &[String]) -> prometheus::Result<Ledger> {
+        let registry = Registry::new();
+        let stages = histograms(
+            &registry,
+            "mapledeck_request_stage_seconds",
+            "Time that a request spent in each stage that it was in.",
+            &["class", "stage"],
+        )?;
+        let left = histograms(
+            &registry,
+            "mapledeck_request_left_seconds",
+            "What was left of the client's time when the answer was decided.",
+            &["class"],
+        )?;
+        let ends = counters(
+            &registry,
+            "mapledeck_requests_total",
+            "Requests that are over, by how.",
+            &["class", "end"],
+        )?;
+        let attempts = counters(
+            &registry,
+            "mapledeck_attempts_total",
+            "Requests written to servers.",
+            &["class", "attempt"],
+        )?;
+        let withheld = counters(
+            &registry,
+            "mapledeck_attempts_withheld_total",
+            "Attempts that were not written, as nothing was left for them.",
+            &["class"],
+        )?;
+        let class = |name: &String| Class {
+            stages: Stage::ALL.map(|stage| stages.with_label_values(&[name, stage.name()])),
+            left: left.with_label_values(&[name]),
+            ends: End::ALL.map(|end| ends.with_label_values(&[name, end.name()])),
+            first: attempts.with_label_values(&[name, "first"]),
+            further: attempts.with_label_values(&[name, "further"]),
+            withheld: withheld.with_label_values(&[name]),
+        };
+        let classes = classes.iter().map(class).collect();
+        Ok(Ledger { registry, classes })
+    }
+
+    /// A request of this class was written to a server, for the first time or once more.
+    pub fn sent(&self, class: usize, first: bool) {
+        if let Some(class) = self.classes.get(class) {
+            if first { &class.first } else { &class.further }.inc();
+        }
+    }
+
+    /// One was not written, as nothing was left.
+    pub fn withheld(&self, class: usize) {
+        if let Some(class) = self.classes.get(class) {
+            class.withheld.inc();
+        }
+    }
+
+    /// Its answer was decided.
+    pub fn decided(&self, class: usize, budget: &Budget, now: Time) {
+        if let (Some(class), Some(left)) = (self.classes.get(class), budget.left(now)) {
+            class.left.observe(left.as_secs_f64());
+        }
+    }
+
+    /// It is over.
+    pub fn ended(&self, class: usize, budget: &Budget, now: Time, end: End) {
+        let Some(class) = self.classes.get(class) else { return };
+        class.ends[end as usize].inc();
+        for (stage, took) in budget.spent(now).stages() {
+            class.stages[stage as usize].observe(took.as_secs_f64());
+        }
+    }
+
+    /// All of it in the text format of Prometheus, and that format's content type.
+    pub fn exposition(&self) -> prometheus::Result<(Vec<u8>, String)> {
+        let (encoder, mut text) = (TextEncoder::new(), Vec::new());
+        encoder.encode(&self.registry.gather(), &mut text)?;
+        Ok((text, encoder.format_type().to_owned()))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+
+    #[test]
+    fn what_became_of_budgets_is_told_by_class_stage_and_end() {
+        let at = |millis: u64| Time(millis * 1_000_000);
+        let ms = Duration::from_millis;
+        let ledger = Ledger::new(&["read \"a\"".to_owned(), "write".to_owned()]).expect("a ledger");
+        let mut budget = Budget::reading(ms(500), at(0));
+        budget.whole(at(20), ms(0));
+        budget.connecting(at(20), ms(250));
+        budget.sending(at(30), at(500), ms(0)).expect("time is left");
+        ledger.sent(1, true);
+        budget.answered(at(230));
+        ledger.decided(1, &budget, at(230));
+        ledger.ended(1, &budget, at(231), End::Answered);
+        ledger.withheld(0);
+        // A number that no class has changes nothing.
+        ledger.sent(2, true);
+        ledger.ended(2, &budget, at(231), End::Answered);
+        let (text, format) = ledger.exposition().expect("a text");
+        let text = String::from_utf8(text).expect("UTF-8");
+        assert!(format.starts_with("text/plain; version=0.0.4"), "{format}");
+        for line in [
+            "# TYPE mapledeck_request_stage_seconds histogram",
+            "mapledeck_request_stage_seconds_bucket{class=\"write\",stage=\"attempt\",le=\"0.1\"} 0",
+            "mapledeck_request_stage_seconds_bucket{class=\"write\",stage=\"attempt\",le=\"0.25\"} 1",
+            "mapledeck_request_stage_seconds_sum{class=\"write\",stage=\"attempt\"} 0.2",
+            "mapledeck_request_stage_seconds_sum{class=\"write\",stage=\"connect\"} 0.01",
+            "mapledeck_request_stage_seconds_count{class=\"write\",stage=\"unseen\"} 0",
+            "mapledeck_request_left_seconds_sum{class=\"write\"} 0.28",
+            "mapledeck_requests_total{class=\"write\",end=\"answered\"} 1",
+            "mapledeck_requests_total{class=\"write\",end=\"client_gone\"} 0",
+            "mapledeck_attempts_total{attempt=\"first\",class=\"write\"} 1",
+            "mapledeck_attempts_withheld_total{class=\"read \\\"a\\\"\"} 1",
+        ] {
+            assert!(text.lines().any(|l| l == line), "no line {line} in\n{text}");
+        }
+    }
+}
