Let a new process go on with the old one's clock

Cause: each process took the wall clock at its own start for module time (Clock::start) and carried it on by the monotonic clock, but what is handed over (ceilings' stores, servers left out, what is cold) holds instants on the old one's scale. A wall clock set between the two starts put all of them into the future, where nothing refills, or into the past, where everything does.

Change: module time is counted from the machine's start, by CLOCK_MONOTONIC, which all processes share; the estate tells the clock's origin and the new process takes it. An estate without one (an older process) is taken as before.

Test: a process that hands over instants an hour ahead; the new one's estate has its origin and its start. With Clock::start() in its place the test fails. Also: an upgrade amid a retry leaves it with the old process and its time.

--- a/gateway/src/clock.rs
+++ b/gateway/src/clock.rs
@@ -1,23 +1,53 @@
 //! The one scale of time: module time, deadlines and the servers' `started_ms`.
 
+use crate::system::monotonic;
 use cherrypulley::Time;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// Unix time at the start of the process, carried on by the monotonic clock. Guards against a wall clock that
-/// is set back: module time never may.
-#[derive(Clone, Copy)]
+/// Unix time as it was at the start of the gateway's first process, carried on by the monotonic clock. Guards against a
+/// wall clock that is set: module time never jumps, so that no deadline, quota or ban gains or loses by it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Clock {
-    unix: u64,
-    start: Instant,
+    /// Module time, in nanoseconds, at the machine's start.
+    origin: u64,
+}
+
+fn nanos(span: Duration) -> u64 {
+    u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)
 }
 
 impl Clock {
     pub fn start() -> Clock {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { unix: u64::try_from(unix.as_nanos()).unwrap_or(0), start: Instant::now() }
+        Clock { origin: nanos(unix).saturating_sub(nanos(monotonic())) }
+    }
+
+    /// The clock of another process on this machine, whose instants then mean the same here.
+    pub fn of_origin(origin: u64) -> Clock {
+        Clock { origin }
+    }
+
+    pub fn origin(&self) -> u64 {
+        self.origin
     }
 
     pub fn now(&self) -> Time {
-        Time(self.unix).after(self.start.elapsed())
+        Time(self.origin).after(monotonic())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The wall clock was set back by an hour between the starts of two processes.
+    #[test]
+    fn a_clock_that_is_taken_over_does_not_jump_with_the_wall_clock() {
+        let old = Clock::of_origin(Clock::start().origin() + 3_600_000_000_000);
+        let before = old.now();
+        let new = Clock::of_origin(old.origin());
+        let after = new.now();
+        assert!(after >= before && after.since(before) < 1.0, "{before:?} {after:?}");
+        assert!(before.since(Clock::start().now()) > 3590.0, "a clock of its own is an hour off");
     }
 }
--- a/gateway/src/handover.rs
+++ b/gateway/src/handover.rs
@@ -71,6 +71,9 @@
     version: u32,
     pub ids: Ids,
     pub draining: bool,
+    /// That of the clock that the memory's instants are on; none told by a process from before it was.
+    #[serde(default)]
+    pub origin: Option<u64>,
     pub memory: Memory,
 }
 
@@ -199,6 +202,7 @@
             version: VERSION,
             ids: self.operations.ids.borrow().clone(),
             draining: self.operations.front.draining(),
+            origin: Some(self.engine.clock.origin()),
             memory: self.gateway.borrow().memory(),
         };
         let Ok(estate) = serde_json::to_string(&estate) else { return };
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -13,6 +13,7 @@
 mod log;
 mod operations;
 mod socket;
+mod system;
 mod upstream;
 
 use crate::log::log;
@@ -91,7 +92,6 @@
     // Before anything is accepted: without a handler SIGHUP ends the process.
     let hangup = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
-    let clock = Clock::start();
     let (clients, servers) = config.budget(false);
     // Bound at once, so that calls wait for their answer rather than meet nobody.
     let console = match config.console {
@@ -107,6 +107,10 @@
     };
     let listen = listener.local_addr()?;
     let taken = if replaceable { handover::take_over(listen).await } else { None };
+    // What is taken over tells of instants by the old process's clock. A wall clock that has been set since would put them
+    // into the future, or into the past.
+    let told = taken.as_ref().and_then(|(estate, _)| estate.origin);
+    let clock = told.map_or_else(Clock::start, Clock::of_origin);
     let site = config.settings.clone();
     let upstream = Upstream::new(clock, site.connect_timeout, site.idle, servers);
     let gateway = Rc::new(RefCell::new(Gateway::new(site.settings.clone(), config.seed)));
--- a/gateway/tests/upgrade.rs
+++ b/gateway/tests/upgrade.rs
@@ -5,7 +5,7 @@
 use common::*;
 use std::io::{BufRead, BufReader, Write};
 use std::net::TcpListener;
-use std::os::unix::net::UnixListener;
+use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 
 const UP: &str = "GET /up HTTP/1.1\r\nHost: a\r\n\r\n";
@@ -159,6 +159,72 @@
     assert_eq!(server.requests(), 6);
 }
 
+/// What the living process at this place hands over, as another one would ask for it.
+fn estate(place: &Path) -> serde_json::Value {
+    let mut stream = UnixStream::connect(place).expect("connected");
+    stream.write_all(b"1\n").expect("written");
+    let mut line = String::new();
+    BufReader::new(stream).read_line(&mut line).expect("an estate");
+    serde_json::from_str(&line).expect("JSON")
+}
+
+#[test]
+fn a_wall_clock_set_between_two_processes_moves_nothing_that_is_taken_over() {
+    const HOUR: u64 = 3_600_000_000_000;
+    let server = Stub::start(|_| ok("a"));
+    let platform = Platform::new(&[&server]);
+    let old = platform.start();
+    assert_eq!(old.call("PUT", &disable(&server)), 200);
+    let told = estate(&platform.meeting());
+    drop(old);
+    // The same from a process whose clock began when the wall clock was an hour ahead: all its instants are later.
+    let later = |nanos: &serde_json::Value| nanos.as_u64().expect("an instant") + HOUR;
+    let mut ahead = told.clone();
+    ahead["origin"] = later(&told["origin"]).into();
+    ahead["memory"]["started"] = later(&told["memory"]["started"]).into();
+    let (origin, started) = (ahead["origin"].clone(), ahead["memory"]["started"].clone());
+    drop(std::fs::remove_file(platform.meeting()));
+    let listener = UnixListener::bind(platform.meeting()).expect("bound");
+    let (done, held) = std::sync::mpsc::channel::<()>();
+    let living = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut hello = String::new();
+        BufReader::new(stream.try_clone().expect("a copy")).read_line(&mut hello).expect("its version");
+        stream.write_all(format!("{ahead}\n").as_bytes()).expect("written");
+        assert!(held.recv().is_err(), "the test is over");
+    });
+    let new = platform.start();
+    assert!(new.log().contains("takes over"), "{}", new.log());
+    let told = estate(&platform.meeting());
+    assert_eq!(told["origin"], origin, "it goes on with the clock that the instants are on");
+    assert_eq!(told["memory"]["started"], started);
+    drop(done);
+    living.join().expect("ended");
+}
+
+#[test]
+fn an_upgrade_amid_a_retry_leaves_it_with_the_old_process_and_its_budget() {
+    let servers = [Stub::start(|_| Reply::Silence), Stub::start(|_| Reply::Silence)];
+    let platform = Platform::new(&[&servers[0], &servers[1]]);
+    let mut old = platform.start();
+    let mut client = old.client();
+    client.write(&saldo("m", "3.9"));
+    let asked = |stub: &Stub| stub.requests() == 1;
+    until("a server has it", || servers.iter().any(asked));
+    let (first, second) = if asked(&servers[0]) { (0, 1) } else { (1, 0) };
+    let new = platform.start();
+    until("the new one is ready", || new.call("GET", "/ready") == 200);
+    old.terminate();
+    servers[first].speak(&Reply::Answer(500, "", String::new()));
+    until("the other server has it", || asked(&servers[second]));
+    let told = |stub: &Stub| stub.last().header("x-expires-in").parse::<f64>().expect("seconds");
+    assert!(told(&servers[second]) < told(&servers[first]), "no time was gained");
+    servers[second].speak(&ok("second"));
+    assert_eq!(client.answer().expect("an answer").text(), "second");
+    assert!(old.exit().success());
+    assert_eq!(servers[first].requests() + servers[second].requests(), 2);
+}
+
 /// Starts a process where something else stands at the meeting place; it must serve all the same.
 fn starts_afresh(prepare: impl FnOnce(&Path)) {
     let server = Stub::start(|_| ok("a"));
