Draw every wait from one budget for each request, and tell where its time went

Seen in the code: the front took 10 ms off X-Expires-In, the engine kept a deadline of its own and began it anew for bodies that flow, upstream told a server `until` less now with no way back, connects took the settings' 250 ms whatever was left, SIGTERM set a timer for the answer but left what servers were told as it was, and a request that lay behind a stopped process or in the listener's queue had all of its time from when it was read.

Change: an Account (the budget on the clock) is made in front.rs, goes with the Order, and bounds body, connect, attempt, answer; X-Expires-In is what is left when the bytes are written, less the way back; the age of the last bytes is charged; SIGTERM cuts all budgets. GET /metrics on the console: time by class and stage, ends, attempts, in Prometheus's format.

--- a/gateway/src/console.rs
+++ b/gateway/src/console.rs
@@ -3,11 +3,11 @@
 use crate::framing::{Framing, Heads};
 use crate::front::last_word;
 use crate::log::log;
-use crate::operations::{Call, Change, Operations, Refusal};
+use crate::operations::{Call, Change, Operations, Refusal, Said};
 use crate::socket::{Io, Socket, Watch};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
-use hyper::header::{HeaderValue, ALLOW};
+use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -146,7 +146,14 @@
             Err(no) => Err(no),
         };
         match call.and_then(|call| self.operations.carry_out(&call).map_err(No::Refused)) {
-            Ok(()) => said(StatusCode::OK, "yes", None),
+            Ok(Said::Yes) => said(StatusCode::OK, "yes", None),
+            Ok(Said::Text(text, format)) => {
+                let mut response = Response::new(Full::new(Bytes::from(text)));
+                if let Ok(format) = HeaderValue::from_str(&format) {
+                    response.headers_mut().insert(CONTENT_TYPE, format);
+                }
+                response
+            }
             Err(No::UnknownPath) => said(StatusCode::NOT_FOUND, "no such call", None),
             Err(No::Method(allowed)) => said(
                 StatusCode::METHOD_NOT_ALLOWED,
@@ -158,6 +165,9 @@
             Err(No::Refused(Refusal::NotReady)) => {
                 said(StatusCode::SERVICE_UNAVAILABLE, "takes no clients", None)
             }
+            Err(No::Refused(Refusal::NoAccount)) => {
+                said(StatusCode::SERVICE_UNAVAILABLE, "no account is kept", None)
+            }
             Err(No::Refused(Refusal::Unknown(name))) => {
                 said(StatusCode::NOT_FOUND, &format!("no pay server {name:?} is known"), None)
             }
@@ -187,8 +197,10 @@
 /// Reads a call.
 fn understood(method: &Method, path: &str, query: Option<&str>) -> Result<Call, No> {
     let takes = |allowed: Method| if *method == allowed { Ok(()) } else { Err(No::Method(allowed)) };
-    if path == "/ready" {
-        return takes(Method::GET).map(|()| Call::Ready);
+    match path {
+        "/ready" => return takes(Method::GET).map(|()| Call::Ready),
+        "/metrics" => return takes(Method::GET).map(|()| Call::Metrics),
+        _ => {}
     }
     let change: fn(String) -> Change = match path {
         "/pay-servers/disable" => Change::Disable,
@@ -216,6 +228,8 @@
         let disable = |name: &str| Ok(Call::Change(Change::Disable(name.to_owned())));
         for (method, uri, call) in [
             (Method::GET, "/ready", Ok(Call::Ready)),
+            (Method::GET, "/metrics", Ok(Call::Metrics)),
+            (Method::PUT, "/metrics", Err(No::Method(Method::GET))),
             (Method::PUT, "/drain", Ok(Call::Change(Change::Drain))),
             (Method::PUT, "/undrain", Ok(Call::Change(Change::Undrain))),
             (Method::PUT, "/pay-servers/disable?name=s-1", disable("s-1")),
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -1,5 +1,6 @@
 //! Owns the decisions: hands events in, carries actions out, and keeps the requests that are open.
 
+use crate::account::Accounts;
 use crate::clock::Clock;
 use crate::handover::Links;
 use crate::log::log;
@@ -45,9 +46,6 @@
 struct Open {
     request: NewRequest,
     order: Rc<Order>,
-    /// When its final answer must be out; not known while its body is on its way.
-    deadline: Option<Time>,
-    arrived: Time,
     /// Until the final answer.
     answer: Option<oneshot::Sender<Answer>>,
     attempts: Vec<Attempt>,
@@ -75,6 +73,8 @@
 
 pub struct Engine {
     pub clock: Clock,
+    /// The budgets of all requests.
+    pub accounts: Rc<Accounts>,
     pub upstream: Upstream,
     /// Other processes of this gateway, which keep the same accounts.
     pub links: Links,
@@ -83,8 +83,6 @@
     decide: RefCell<Decide>,
     open: RefCell<BTreeMap<RequestId, Open>>,
     last_id: Cell<u32>,
-    /// When every answer must be out: the process ends.
-    end: Cell<Option<Time>>,
     timers: RefCell<BinaryHeap<Reverse<(Time, Due)>>>,
     /// A timer was set that is due before all others.
     sooner: Notify,
@@ -96,18 +94,26 @@
     pub fn new(
         gateway: Rc<RefCell<Gateway>>,
         clock: Clock,
+        accounts: Rc<Accounts>,
         upstream: Upstream,
         max_attempts: u32,
     ) -> Rc<Engine> {
         let decide = move |now, event, actions: &mut Vec<Action>| {
             gateway.borrow_mut().handle(now, event, actions);
         };
-        Engine::deciding(Box::new(decide), clock, upstream, max_attempts)
+        Engine::deciding(Box::new(decide), clock, accounts, upstream, max_attempts)
     }
 
-    fn deciding(decide: Decide, clock: Clock, upstream: Upstream, max_attempts: u32) -> Rc<Engine> {
+    fn deciding(
+        decide: Decide,
+        clock: Clock,
+        accounts: Rc<Accounts>,
+        upstream: Upstream,
+        max_attempts: u32,
+    ) -> Rc<Engine> {
         Rc::new_cyclic(|me| Engine {
             clock,
+            accounts,
             upstream,
             links: Links::default(),
             me: me.clone(),
@@ -115,7 +121,6 @@
             decide: RefCell::new(decide),
             open: RefCell::default(),
             last_id: Cell::new(0),
-            end: Cell::new(None),
             timers: RefCell::default(),
             sooner: Notify::new(),
             queue: RefCell::default(),
@@ -130,21 +135,17 @@
         self.last_id.set(id.0);
         request.id = id;
         let (answer, answered) = oneshot::channel();
-        let deadline = request.deadline;
+        order.account.take();
+        let ends = order.account.ends();
         let open = Open {
             request: request.clone(),
             order: Rc::new(order),
-            deadline: (!request.flows).then_some(deadline),
-            arrived: self.clock.now(),
             answer: Some(answer),
             attempts: Vec::new(),
         };
         self.open.borrow_mut().insert(id, open);
-        if !request.flows {
-            self.set_timer(deadline, Due::Answer(id));
-        }
-        if let Some(end) = self.end.get() {
-            self.set_timer(end, Due::Answer(id));
+        if let Some(ends) = ends {
+            self.set_timer(ends, Due::Answer(id));
         }
         self.post(Event::Request(request));
         (id, answered)
@@ -152,7 +153,7 @@
 
     /// Whatever is open or comes gets its answer by then: the process is killed after that.
     pub fn end_by(&self, end: Time) {
-        self.end.set(Some(end));
+        self.accounts.end_by(end);
         let open: Vec<RequestId> = self.open.borrow().keys().copied().collect();
         open.into_iter().for_each(|id| self.set_timer(end, Due::Answer(id)));
     }
@@ -238,6 +239,9 @@
 
     /// Gives the final answer; whether it is the first, which alone stands.
     fn answer(&self, id: RequestId, answer: Answer) -> bool {
+        if let Some(open) = self.open.borrow().get(&id).filter(|open| open.answer.is_some()) {
+            open.order.account.answered(matches!(answer, Answer::Served(_)));
+        }
         // Without a receiver the client has just left, and its connection will say so.
         self.finish(id).map(|client| drop(client.send(answer))).is_some()
     }
@@ -246,8 +250,8 @@
         let mut all = self.open.borrow_mut();
         let Some(open) = all.get_mut(&id) else { return };
         let attempt = AttemptNo(open.attempts.len() as u32);
-        let until =
-            open.deadline.map(|deadline| if until == Time(0) { deadline } else { until.min(deadline) });
+        let ends = open.order.account.ends();
+        let until = ends.map(|ends| if until == Time(0) { ends } else { until.min(ends) });
         let late = until.is_some_and(|until| until <= now);
         let moot = open.answer.is_none() || late || open.attempts.len() >= self.max_attempts;
         let never_sent = if moot { Some(Status::Moot) } else { None };
@@ -295,9 +299,8 @@
         let now = self.clock.now();
         let mut all = self.open.borrow_mut();
         let Some(open) = all.get_mut(&id) else { return };
-        let took = Duration::from_nanos(now.0.saturating_sub(open.arrived.0));
-        let deadline = open.request.deadline.after(took);
-        open.deadline = Some(deadline);
+        open.order.account.whole(Duration::ZERO);
+        let deadline = open.order.account.ends_at_most();
         if let Some(attempt) = open.attempts.get_mut(attempt.0 as usize) {
             (attempt.sent, attempt.until) = (now, Some(deadline));
         }
@@ -351,6 +354,7 @@
         let elapsed = Duration::from_nanos(self.clock.now().0.saturating_sub(sent.0));
         let mut last = false;
         if let Some(open) = self.open.borrow().get(&id) {
+            open.order.account.waiting();
             last = open.order.body.flow().is_some_and(|flow| flow.spent());
             if let Some(Attempt { server, .. }) = open.attempts.get(attempt.0 as usize) {
                 let (customer, server) = (open.request.customer, *server);
@@ -447,6 +451,7 @@
     use super::*;
     use crate::flow::Sendable;
     use cherrypulley::{ClassId, CustomerId, Lifecycle, PlanId, Scope, ServerInfo};
+    use mapledeck_budget::WAY_BACK;
     use std::net::TcpListener;
     use tokio::runtime::{Builder, LocalOptions};
 
@@ -461,7 +466,7 @@
         let silent = TcpListener::bind("127.0.0.1:0").expect("a port");
         let server = ServerInfo { id: SERVER, lifecycle: Lifecycle::Running, ..ServerInfo::default() };
         let clock = Clock::start();
-        let upstream = Upstream::new(clock, Duration::from_secs(5), Duration::from_secs(5), 10);
+        let upstream = Upstream::new(Duration::from_secs(5), Duration::from_secs(5), 10);
         upstream.listed(Scope::Full, &[server], &[(SERVER, silent.local_addr().expect("bound"))]);
         let told: Rc<RefCell<Vec<Event>>> = Rc::default();
         let keep = told.clone();
@@ -470,7 +475,8 @@
             keep.borrow_mut().push(event.clone());
             script(&event, actions);
         };
-        let engine = Engine::deciding(Box::new(decide), clock, upstream, 2);
+        let accounts = Accounts::new(clock, None);
+        let engine = Engine::deciding(Box::new(decide), clock, accounts, upstream, 2);
         let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
         runtime.expect("a runtime").block_on(async {
             let timers = engine.clone();
@@ -480,12 +486,14 @@
     }
 
     fn arrive(engine: &Engine, wait: Duration) -> (RequestId, oneshot::Receiver<Answer>) {
+        let account = engine.accounts.begin(0, wait + WAY_BACK, Duration::ZERO);
+        account.whole(Duration::ZERO);
         let request = NewRequest {
             id: RequestId(0),
             class: ClassId(0),
             plan: PlanId(0),
             customer: CustomerId(1),
-            deadline: engine.clock.now().after(wait),
+            deadline: account.ends_at_most(),
             units: 1.0,
             gateways: 1,
             repeat: false,
@@ -496,7 +504,7 @@
             uri: Default::default(),
             headers: Default::default(),
             body: Sendable::Whole(Default::default()),
-            wait,
+            account,
             over: Cell::new(false),
         };
         engine.arrive(request, order)
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -1,5 +1,6 @@
 //! Clients' connections: requests read and checked, readiness, and final answers.
 
+use crate::account::Account;
 use crate::engine::{Answer, Engine};
 use crate::flow::{Flow, Pace, Passed, Sendable, Words, SHORT};
 use crate::framing::{Framing, Heads};
@@ -14,6 +15,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
+use mapledeck_budget::STALL;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
@@ -26,18 +28,16 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, sleep_until, timeout, timeout_at};
+use tokio::time::{sleep, sleep_until, timeout};
 
-/// An answer is out this long before the client stops waiting: its way back, and what a busy core adds.
-const MARGIN: Duration = Duration::from_millis(10);
 /// Bounds of what a client may take its time with, in each case so that whoever says nothing, or not all, has an
 /// error or a close within three seconds: a head (the first one from the start of its connection) ...
 const HEAD_MOST: Duration = Duration::from_millis(2500);
 /// ... and the time between two requests.
 const IDLE_MOST: Duration = Duration::from_millis(2500);
-/// An answer that the client does not read: it is larger than what the system takes for a connection, or many of
-/// them are.
-const READ_MOST: Duration = Duration::from_secs(5);
+/// The system tells the age of what has come in its own ticks, of which the longest in use is this. What is younger has
+/// only just come.
+const TICK: Duration = Duration::from_millis(10);
 /// A connection that is to close waits this long for the head of a request to come to its end.
 const LAST_HEAD_MOST: Duration = Duration::from_millis(250);
 /// When the gateway drains or ends, connections that are in use get their next request answered, which closes them;
@@ -114,6 +114,10 @@
     heads: RefCell<Heads>,
     /// When the first bytes came of a head that has not ended.
     head_since: Cell<Option<Instant>>,
+    /// How long the last whole head took to come.
+    head_took: Cell<Duration>,
+    /// That of the request whose answer is owed or goes out.
+    account: RefCell<Option<Rc<Account>>>,
 }
 
 impl Client {
@@ -127,6 +131,8 @@
             news: Notify::new(),
             heads: RefCell::default(),
             head_since: Cell::new(None),
+            head_took: Cell::default(),
+            account: RefCell::default(),
         })
     }
 
@@ -152,7 +158,7 @@
     fn due(&self) -> Option<Instant> {
         match (self.phase.get(), self.head_since.get()) {
             (Phase::Open, _) => None,
-            (Phase::Answering(blocked), _) => blocked.map(|since| since + READ_MOST),
+            (Phase::Answering(blocked), _) => blocked.map(|since| since + STALL),
             (Phase::Idle(_), Some(head)) if self.asked.get() => {
                 let told = self.told.get().map(|told| told + LAST_HEAD_MOST);
                 told.into_iter().chain([head + HEAD_MOST]).min()
@@ -174,7 +180,8 @@
         let mut heads = self.heads.borrow_mut();
         heads.read(bytes);
         if !heads.unfinished() {
-            self.head_since.set(None);
+            let since = self.head_since.take();
+            self.head_took.set(since.map_or(Duration::ZERO, |since| since.elapsed()));
         } else if self.head_since.get().is_none() {
             self.head_since.set(Some(Instant::now()));
         }
@@ -193,6 +200,7 @@
     fn flushed(&self) {
         if matches!(self.phase.get(), Phase::Answering(_)) && !self.words_left.get() {
             self.phase.set(Phase::Idle(Instant::now()));
+            self.account.take().iter().for_each(|account| account.flushed());
         }
     }
 }
@@ -344,12 +352,12 @@
         socket: &Rc<Socket<Rc<Client>>>,
     ) -> Option<(StatusCode, &'static str)> {
         let service = service_fn(|request| {
-            let (front, client) = (self.clone(), client.clone());
+            let (front, client, socket) = (self.clone(), client.clone(), socket.clone());
             async move {
                 client.asked.set(true);
                 client.phase.set(Phase::Open);
                 let framing = client.heads.borrow_mut().next().unwrap_or(Framing::Ambiguous);
-                let responding = front.respond(request, framing);
+                let responding = front.respond(request, framing, &socket);
                 let answered = AssertUnwindSafe(responding).catch_unwind().await;
                 // The panic's own line is on standard error.
                 let answer =
@@ -504,6 +512,7 @@
         &self,
         request: Request<Incoming>,
         framing: Framing,
+        socket: &Socket<Rc<Client>>,
     ) -> Result<Response<Words>, Rejected> {
         if framing == Framing::Ambiguous {
             return Err(bad("more than one length, or one beside a transfer-encoding"));
@@ -518,8 +527,9 @@
                 _ => Err(bad("/up takes GET")),
             };
         }
-        let (request, order, _open) = self.read(request).await?;
+        let (request, order, _open) = self.read(request, socket).await?;
         let flow = order.body.flow().cloned();
+        socket.watch.account.replace(Some(order.account.clone()));
         let (id, answered) = self.engine.arrive(request, order);
         // Dropped with what is below it: whatever comes of the rest of a body, the decisions hear that it is over.
         let mut owed = Owed { engine: &self.engine, id: Some(id) };
@@ -541,7 +551,11 @@
     }
 
     /// Checks a request and reads it whole.
-    async fn read(&self, request: Request<Incoming>) -> Result<(NewRequest, Order, OpenId<'_>), Rejected> {
+    async fn read(
+        &self,
+        request: Request<Incoming>,
+        socket: &Socket<Rc<Client>>,
+    ) -> Result<(NewRequest, Order, OpenId<'_>), Rejected> {
         let (head, body) = request.into_parts();
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
         let first = head.uri.path().split('/').nth(1).unwrap_or_default();
@@ -579,21 +593,27 @@
         if body.size_hint().lower() > MAX_BODY as u64 {
             return Err(too_long());
         }
-        let body = begin(body).await?;
+        let account = self.engine.accounts.begin(class, wait, socket.watch.head_took.get());
+        let body = begin(body, &account).await?;
         // The time of a request counts from its last byte, and that of one whose body is still to come from then.
-        let (arrived, flows) = (self.engine.clock.now(), body.flow().is_some());
+        let flows = body.flow().is_some();
+        if !flows {
+            // It may have lain in the queue of a full listener, or behind a loop that was busy or stood still.
+            account.whole(socket.last_came().filter(|&ago| ago >= TICK).unwrap_or_default());
+        }
+        let deadline = account.ends_at_most();
         let headers = [TRACE_ID, IDEMPOTENCY_KEY, CONTENT_TYPE]
             .into_iter()
             .filter_map(|name| head.headers.get(&name).cloned().map(|value| (name, value)))
             .collect();
-        let order = Order { method, uri, headers, body, wait, over: Cell::new(false) };
+        let order = Order { method, uri, headers, body, account, over: Cell::new(false) };
         let request = NewRequest {
             // Numbered on arrival.
             id: RequestId(0),
             class: ClassId(class),
             plan: PlanId(plan),
             customer,
-            deadline: arrived.after(wait.saturating_sub(MARGIN)),
+            deadline,
             units,
             gateways,
             repeat: head.headers.get(REPEAT).is_some_and(|mark| mark == "1"),
@@ -637,13 +657,13 @@
 }
 
 /// Reads a body whole, or the beginning of a long one. A client that has vanished says nothing.
-async fn begin(mut body: Incoming) -> Result<Sendable, Rejected> {
+async fn begin(mut body: Incoming, account: &Account) -> Result<Sendable, Rejected> {
     let length = body.size_hint().exact();
     let mut pace = Pace::waiting();
     let mut come = Vec::new();
     while !body.is_end_stream() {
-        let due = pace.due().unwrap_or_else(Instant::now);
-        match timeout_at(due.into(), more(&mut body)).await {
+        let pause = pace.due().map_or(Duration::ZERO, |due| due.saturating_duration_since(Instant::now()));
+        match timeout(account.bound(pause), more(&mut body)).await {
             Ok(Ok(Some(data))) => {
                 come.extend_from_slice(&data);
                 pace.brought_some(data.len());
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -1,6 +1,7 @@
 //! The gateway: cherrypulley's decisions between HTTP/1.1 clients and servers, on one thread.
 #![deny(unsafe_code)]
 
+mod account;
 mod clock;
 mod config;
 mod console;
@@ -17,6 +18,7 @@
 mod upstream;
 
 use crate::log::log;
+use account::Accounts;
 use cherrypulley::Gateway;
 use clock::Clock;
 use config::Config;
@@ -112,9 +114,10 @@
     let told = taken.as_ref().and_then(|(estate, _)| estate.origin);
     let clock = told.map_or_else(Clock::start, Clock::of_origin);
     let site = config.settings.clone();
-    let upstream = Upstream::new(clock, site.connect_timeout, site.idle, servers);
+    let accounts = Accounts::new(clock, console.as_ref().map(|_| site.classes.as_slice()));
+    let upstream = Upstream::new(site.connect_timeout, site.idle, servers);
     let gateway = Rc::new(RefCell::new(Gateway::new(site.settings.clone(), config.seed)));
-    let engine = Engine::new(gateway.clone(), clock, upstream, site.settings.max_attempts);
+    let engine = Engine::new(gateway.clone(), clock, accounts, upstream, site.settings.max_attempts);
     let front = Front::new(engine.clone(), site.clone(), clients);
 
     let (agent, agents) = watch::channel(config.discovery);
--- a/gateway/src/operations.rs
+++ b/gateway/src/operations.rs
@@ -14,9 +14,19 @@
 pub enum Call {
     /// Does this process take clients?
     Ready,
+    /// Where did requests' time go?
+    Metrics,
     Change(Change),
 }
 
+/// What is said to a call that was carried out.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Said {
+    Yes,
+    /// A text, and of what type it is.
+    Text(Vec<u8>, String),
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
     /// Leave the pay server of this id out ...
@@ -32,6 +42,8 @@
 pub enum Refusal {
     /// The process takes no clients, not yet or not any more.
     NotReady,
+    /// No account is kept.
+    NoAccount,
     /// No pay server of this id was ever told of.
     Unknown(String),
 }
@@ -43,13 +55,18 @@
 }
 
 impl Operations {
-    pub fn carry_out(&self, call: &Call) -> Result<(), Refusal> {
+    pub fn carry_out(&self, call: &Call) -> Result<Said, Refusal> {
         match call {
-            Call::Ready => self.front.takes_clients().then_some(()).ok_or(Refusal::NotReady),
+            Call::Ready => self.front.takes_clients().then_some(Said::Yes).ok_or(Refusal::NotReady),
+            Call::Metrics => {
+                let text = self.engine.accounts.ledger.as_ref().map(|ledger| ledger.exposition());
+                let (text, format) = text.and_then(Result::ok).ok_or(Refusal::NoAccount)?;
+                Ok(Said::Text(text, format))
+            }
             Call::Change(change) => {
                 // Also where it is unknown here: the other process may have heard of more.
                 self.engine.links.changed(change);
-                self.make(change)
+                self.make(change).map(|()| Said::Yes)
             }
         }
     }
--- a/gateway/src/socket.rs
+++ b/gateway/src/socket.rs
@@ -1,5 +1,6 @@
 //! Sockets below hyper: hyper reads and writes them, their owner looks at them and has the last word.
 
+use crate::system::last_came;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 use std::io;
@@ -52,6 +53,11 @@
         matches!(SockRef::from(&self.stream).peek(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// How long ago its last bytes came, where the system tells.
+    pub fn last_came(&self) -> Option<Duration> {
+        last_came(&self.stream).ok()
+    }
+
     /// Says a last thing, as far as it can be said at once, and that nothing more comes.
     pub fn end(&self, word: &[u8]) {
         if !word.is_empty() {
--- a/gateway/src/system.rs
+++ b/gateway/src/system.rs
@@ -1,5 +1,7 @@
 //! What only the system knows, asked of it directly: the crates that are used here have no call for it.
 
+use std::io;
+use std::os::fd::{AsFd, AsRawFd};
 use std::time::Duration;
 
 /// Time since the machine's start, on the clock of [`std::time::Instant`], which is one for all processes and is never
@@ -14,11 +16,47 @@
     Duration::new(u64::try_from(now.tv_sec).unwrap_or(0), u32::try_from(now.tv_nsec).unwrap_or(0))
 }
 
+/// How long ago the last bytes of a connection came, whether they have been read or not, and also those that came before
+/// it was accepted. In whole milliseconds, and as coarse as the system's tick.
+#[allow(unsafe_code)]
+pub fn last_came(socket: &impl AsFd) -> io::Result<Duration> {
+    // SAFETY: it is plain numbers, for each of which zero is a value.
+    let mut info: libc::tcp_info = unsafe { std::mem::zeroed() };
+    let mut length = libc::socklen_t::try_from(size_of::<libc::tcp_info>()).unwrap_or(0);
+    let (fd, place) = (socket.as_fd().as_raw_fd(), (&raw mut info).cast());
+    // SAFETY: at most `length` bytes are written, which is the size of `info`; the descriptor is borrowed and so open.
+    let result = unsafe { libc::getsockopt(fd, libc::IPPROTO_TCP, libc::TCP_INFO, place, &raw mut length) };
+    // A system that knows less says so by the length; what it did not write is zero.
+    if result == 0 {
+        Ok(Duration::from_millis(info.tcpi_last_data_recv.into()))
+    } else {
+        Err(io::Error::last_os_error())
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::io::Write;
+    use std::net::{TcpListener, TcpStream};
     use std::time::Instant;
 
+    #[test]
+    fn the_age_of_the_last_bytes_is_known_also_where_they_came_before_the_connection_was_accepted() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let mut client = TcpStream::connect(listener.local_addr().expect("bound")).expect("connected");
+        let before = Instant::now();
+        client.write_all(b"x").expect("written");
+        let written = Instant::now();
+        std::thread::sleep(Duration::from_millis(120));
+        let (accepted, _) = listener.accept().expect("accepted");
+        let least = written.elapsed();
+        let age = last_came(&accepted).expect("the system tells");
+        // A tick either way.
+        let tick = Duration::from_millis(11);
+        assert!(age + tick >= least && age <= before.elapsed() + tick, "{age:?}, {least:?} at least");
+    }
+
     #[test]
     fn the_clock_is_that_of_instants() {
         let (instant, before) = (Instant::now(), monotonic());
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -1,6 +1,6 @@
 //! Connections to servers, and attempts on them: what was sent, and how it ended.
 
-use crate::clock::Clock;
+use crate::account::Account;
 use crate::flow::{Outgoing, Passed, Piece, Sendable, Words, SHORT};
 use crate::log::log;
 use crate::socket::{Io, Socket};
@@ -36,6 +36,9 @@
 const IDLE_REGAIN: Duration = Duration::from_secs(10);
 /// Weight of a connection's time to come up in their mean.
 const CONNECT_WEIGHT: f64 = 0.1;
+/// The most that a server's answer is reckoned to take on its way here: connections that come up slowly tell of busy
+/// servers, not of long ways.
+const BACK_MOST: Duration = Duration::from_millis(10);
 
 pub const EXPIRES_IN: HeaderName = HeaderName::from_static("x-expires-in");
 const NEVER_RAN: HeaderName = HeaderName::from_static("x-never-ran");
@@ -87,16 +90,19 @@
 }
 
 /// Reads an answer that may turn out to be long.
-async fn read_short(body: &mut Incoming) -> Read {
+async fn read_short(body: &mut Incoming, account: &Account) -> Read {
     let length = body.size_hint().exact();
     if length.is_some_and(|length| length > SHORT as u64) {
         return Read::Part(Bytes::new());
     }
-    let hold = Instant::now() + HOLD;
+    let hold = Instant::now() + account.bound(HOLD);
     let mut come = Vec::new();
     loop {
-        let pause =
-            if length.is_some() { SHORT_PAUSE } else { hold.saturating_duration_since(Instant::now()) };
+        let pause = if length.is_some() {
+            account.bound(SHORT_PAUSE)
+        } else {
+            hold.saturating_duration_since(Instant::now())
+        };
         match timeout(pause, more(body)).await {
             Ok(Ok(Some(data))) => come.extend_from_slice(&data),
             Ok(Ok(None)) => return Read::Whole(come.into()),
@@ -115,8 +121,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Sendable,
-    /// How long the client waits, from its last byte.
-    pub wait: Duration,
+    /// What its client's time is left for.
+    pub account: Rc<Account>,
     /// Set with the final answer. Nothing is sent for the request after that, also where attempts that are
     /// still connecting may not be cancelled.
     pub over: Cell<bool>,
@@ -250,7 +256,6 @@
 
 /// The servers' addresses and the connections to them.
 pub struct Upstream {
-    clock: Clock,
     connect_timeout: Duration,
     idle_limit: IdleLimit,
     /// Mean time in which a connection comes up.
@@ -285,9 +290,8 @@
 }
 
 impl Upstream {
-    pub fn new(clock: Clock, connect_timeout: Duration, idle: Duration, budget: usize) -> Upstream {
+    pub fn new(connect_timeout: Duration, idle: Duration, budget: usize) -> Upstream {
         Upstream {
-            clock,
             connect_timeout,
             idle_limit: IdleLimit { most: idle.mul_f64(IDLE_SHARE), learnt: Cell::new(None) },
             connect_time: Cell::new(AT_ONCE),
@@ -367,9 +371,9 @@
             .find(|(link, idle)| *idle < limit && link.clean())
     }
 
-    async fn connect(&self, peer: &Peer) -> io::Result<Link> {
-        let begun = Instant::now();
-        let link = Link::open(peer.addr, self.connect_timeout, Some(self.open.clone())).await?;
+    async fn connect(&self, peer: &Peer, account: &Account) -> io::Result<Link> {
+        let (begun, within) = (Instant::now(), account.connecting(self.connect_timeout));
+        let link = Link::open(peer.addr, within, Some(self.open.clone())).await?;
         let (mean, took) = (self.connect_time.get(), begun.elapsed());
         self.connect_time.set(mean.mul_f64(1.0 - CONNECT_WEIGHT) + took.mul_f64(CONNECT_WEIGHT));
         Ok(link)
@@ -408,7 +412,7 @@
                         request.into_body().put_back();
                         return Status::Moot.into();
                     }
-                    match self.connect(&peer).await {
+                    match self.connect(&peer, &order.account).await {
                         Ok(link) => (link, None),
                         Err(_) => {
                             request.into_body().put_back();
@@ -422,8 +426,14 @@
                 return Status::Moot.into();
             }
             if link.ready().await {
-                let left = until.map_or(order.wait.as_secs_f64(), |until| until.since(self.clock.now()));
-                if let Ok(left) = HeaderValue::from_str(&format!("{left:.3}")) {
+                // A connection comes up with one way there and one back.
+                let back = (self.connect_time.get() / 2).min(BACK_MOST);
+                let Some(left) = order.account.sending(until, back) else {
+                    request.into_body().put_back();
+                    self.give_back(peer, link);
+                    return Status::Moot.into();
+                };
+                if let Ok(left) = HeaderValue::from_str(&format!("{:.3}", left.as_secs_f64())) {
                     request.headers_mut().insert(EXPIRES_IN, left);
                 }
                 let written = Instant::now();
@@ -433,7 +443,10 @@
                 match sent {
                     Ok(answer) => return self.read(peer, link, order, answer, begun).await,
                     Err(mut e) => match e.take_message() {
-                        Some(unsent) => request = unsent,
+                        Some(unsent) => {
+                            order.account.unsent();
+                            request = unsent;
+                        }
                         // The last byte was not written, so it never ran.
                         None if order.passed() != Passed::All => return Status::ConnectFailed.into(),
                         // Written, in part at least: nothing proves that it was not all.
@@ -487,7 +500,7 @@
             length.is_some() || head.headers.contains_key(TRANSFER_ENCODING) || closes(&head.headers);
         let read = match length {
             Some(length) if length > MAX_BODY as u64 => Read::Spoilt,
-            _ if bounded => read_short(&mut body).await,
+            _ if bounded => read_short(&mut body, &order.account).await,
             _ => Read::Spoilt,
         };
         let content_type = head.headers.get(CONTENT_TYPE).cloned();
@@ -501,6 +514,9 @@
                 let (pieces, words) = Words::flow(length);
                 begun(Served { body: words, content_type });
                 ending.status = pass_on(come, body, &pieces).await;
+                if ending.status == Status::Reset {
+                    order.account.broke_off();
+                }
                 self.heard_of(peer);
             }
             // Also a refusal that is spoilt or too long: its mark proves nothing then.
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -368,13 +368,25 @@
         named.expect("a console").parse().expect("an address")
     }
 
-    /// Calls as operators do; the status of the answer.
-    pub fn call(&self, method: &str, path: &str) -> u16 {
+    /// Calls as operators do.
+    pub fn called(&self, method: &str, path: &str) -> Message {
         let mut caller = Client::connect(self.console());
         caller.write(&format!("{method} {path} HTTP/1.1\r\nHost: console\r\n\r\n"));
         let answer = caller.answer().expect("an answer");
         assert!(caller.ends(), "one call a connection");
-        answer.status()
+        answer
+    }
+
+    /// The status of the answer.
+    pub fn call(&self, method: &str, path: &str) -> u16 {
+        self.called(method, path).status()
+    }
+
+    /// The value that the console's metrics have for a series, written as it is there.
+    pub fn metric(&self, series: &str) -> f64 {
+        let text = self.called("GET", "/metrics").text();
+        let value = text.lines().find_map(|line| line.strip_prefix(series)?.trim().parse().ok());
+        value.unwrap_or_else(|| panic!("no {series} in\n{text}"))
     }
 
     pub fn log(&self) -> String {
@@ -385,6 +397,12 @@
         self.signal("-TERM");
     }
 
+    /// Whether it takes no more clients.
+    pub fn client_is_refused(&self) -> bool {
+        let mut client = Client::connect(self.addr);
+        client.ask("GET /up HTTP/1.1\r\nHost: a\r\n\r\n").status() != 200
+    }
+
     /// Replaces the file of the configuration and says so.
     pub fn reload(&self, config: &str) {
         std::fs::write(self.dir.join("new.json"), config).expect("written");
@@ -392,7 +410,7 @@
         self.signal("-HUP");
     }
 
-    fn signal(&self, signal: &str) {
+    pub fn signal(&self, signal: &str) {
         let sent = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
         assert!(sent.expect("kill runs").success());
     }
