Send no further attempt where even the best server is too slow, and name the retry budget

Seen: worth_again looked at the class's mean alone, so a repeat could go to the one server that was left and took several times as long.

Change (src/rules.rs, pick and worth_again): a further attempt is not sent where the best server's own mean takes twice what is left; the condition on the deadline there was implied by that on the aim. retries is retry_budget, with its bound stated and told by GET /metrics.

Tests: a_repeat_is_not_sent_to_a_server_too_slow_for_what_is_left (fails without), a fleet that is slow as a whole is asked all the same (fails with a bound four times as strict), the_retry_budget_bounds_further_attempts (fails with 0.2 for 0.1).

--- a/budget/src/ledger.rs
+++ b/budget/src/ledger.rs
@@ -3,7 +3,8 @@
 use crate::{Budget, Stage};
 use cherrypulley::Time;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
+    Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry,
+    TextEncoder,
 };
 
 /// How a budget ended.
@@ -49,6 +50,7 @@
 pub struct Ledger {
     registry: Registry,
     classes: Vec<Class>,
+    retry_budget: Gauge,
 }
 
 fn histograms(
@@ -107,6 +109,9 @@
             "Attempts that were not written, as nothing was left for them.",
             &["class"],
         )?;
+        let retry_budget =
+            Gauge::new("mapledeck_retry_budget", "Further attempts that may be sent at once.")?;
+        registry.register(Box::new(retry_budget.clone()))?;
         let class = |name: &String| Class {
             stages: Stage::ALL.map(|stage| stages.with_label_values(&[name, stage.name()])),
             left: left.with_label_values(&[name]),
@@ -116,7 +121,7 @@
             withheld: withheld.with_label_values(&[name]),
         };
         let classes = classes.iter().map(class).collect();
-        Ok(Ledger { registry, classes })
+        Ok(Ledger { registry, classes, retry_budget })
     }
 
     /// A request of this class was written to a server, for the first time or once more.
@@ -149,8 +154,9 @@
         }
     }
 
-    /// All of it in the text format of Prometheus, and that format's content type.
-    pub fn exposition(&self) -> prometheus::Result<(Vec<u8>, String)> {
+    /// All of it in the text format of Prometheus, and that format's content type; and what is in the retry budget now.
+    pub fn exposition(&self, retry_budget: f64) -> prometheus::Result<(Vec<u8>, String)> {
+        self.retry_budget.set(retry_budget);
         let (encoder, mut text) = (TextEncoder::new(), Vec::new());
         encoder.encode(&self.registry.gather(), &mut text)?;
         Ok((text, encoder.format_type().to_owned()))
@@ -179,7 +185,7 @@
         // A number that no class has changes nothing.
         ledger.sent(2, true);
         ledger.ended(2, &budget, at(231), End::Answered);
-        let (text, format) = ledger.exposition().expect("a text");
+        let (text, format) = ledger.exposition(2.5).expect("a text");
         let text = String::from_utf8(text).expect("UTF-8");
         assert!(format.starts_with("text/plain; version=0.0.4"), "{format}");
         for line in [
@@ -193,6 +199,7 @@
             "mapledeck_requests_total{class=\"write\",end=\"answered\"} 1",
             "mapledeck_requests_total{class=\"write\",end=\"client_gone\"} 0",
             "mapledeck_attempts_total{attempt=\"first\",class=\"write\"} 1",
+            "mapledeck_retry_budget 2.5",
             "mapledeck_attempts_withheld_total{class=\"read \\\"a\\\"\"} 1",
         ] {
             assert!(text.lines().any(|l| l == line), "no line {line} in\n{text}");
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -124,7 +124,12 @@
     spawn_local(reload(hangup, agent));
     let fleet = (site.settings.discovery, site.settings.gateways);
     let mut discovery = Discovery::new(engine.clone(), agents, site.zones, site.kinds, fleet, config.seed);
-    let operations = Operations { engine: engine.clone(), front: front.clone(), ids: discovery.ids() };
+    let operations = Operations {
+        engine: engine.clone(),
+        gateway: gateway.clone(),
+        front: front.clone(),
+        ids: discovery.ids(),
+    };
     let operations = Rc::new(operations);
     let known = config.known.take();
     let (sharing, halves) = (front.clone(), engine.clone());
--- a/gateway/src/operations.rs
+++ b/gateway/src/operations.rs
@@ -4,7 +4,7 @@
 use crate::engine::Engine;
 use crate::front::Front;
 use crate::log::log;
-use cherrypulley::Event;
+use cherrypulley::{Event, Gateway};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -50,6 +50,7 @@
 
 pub struct Operations {
     pub engine: Rc<Engine>,
+    pub gateway: Rc<RefCell<Gateway>>,
     pub front: Rc<Front>,
     pub ids: Rc<RefCell<Ids>>,
 }
@@ -59,7 +60,8 @@
         match call {
             Call::Ready => self.front.takes_clients().then_some(Said::Yes).ok_or(Refusal::NotReady),
             Call::Metrics => {
-                let text = self.engine.accounts.ledger.as_ref().map(|ledger| ledger.exposition());
+                let left = self.gateway.borrow().retry_budget();
+                let text = self.engine.accounts.ledger.as_ref().map(|ledger| ledger.exposition(left));
                 let (text, format) = text.and_then(Result::ok).ok_or(Refusal::NoAccount)?;
                 Ok(Said::Text(text, format))
             }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -80,16 +80,17 @@
 /// Lost attempts: when they are repeated and no longer count as latency, and when they no longer take room,
 /// in that time (ours: what runs on after all is load, and a needless repeat costs less than a jam).
 const LOST: (f64, f64) = (1.0, 2.0);
-/// Least time left for a try, in its class's mean latencies (ours).
+/// Least time left for a try, in the mean latencies of its class and of the server (ours).
 const LEFT_LEAST: f64 = 0.5;
 /// A client that waits for less than this part of what first tries of the class are given has the rest of the
 /// class's deadline left and no more (ours: what the way here takes off a wait is less than the difference).
 const WAIT_PART: f64 = 0.97;
 /// Most that a refusal advises to wait, in aims (ours: clients come back up to three times, within the aim).
 const ADVICE: f64 = 0.25;
-/// Further attempts that each first send earns (ours), and the most that can be saved up.
-const RETRY: (f64, f64) = (0.1, 10.0);
-/// Part of one that a repeat after a broken connection takes (ours: half of the first sends may need one).
+/// The retry budget: what each first send adds to it, and the most that it holds (ours). A further attempt
+/// takes one, so that they are a tenth of the first sends and ten more at most, ...
+const RETRY_BUDGET: (f64, f64) = (0.1, 10.0);
+/// ... and a repeat after a broken connection this part of one (ours: half of the first sends may need one).
 /// A break comes at once and is no sign of load, as a refusal or silence is. Covers networks and servers that
 /// cut connections, as restarts do; hurts where overloaded servers cut them, which the bounds on attempts out
 /// must then hold alone.
@@ -411,7 +412,7 @@
 }
 
 /// Overload detection, allocation and throttling (Kasera IV-B2, IV-C, IV-D).
-#[derive(Clone, Serialize, Deserialize)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 struct Shedder {
     f: f64,
     alpha_thresh: Option<f64>,
@@ -438,15 +439,7 @@
         }
         let mut order: Vec<usize> = (0..priorities.len()).collect();
         order.sort_by(|&a, &b| priorities[a].worth.total_cmp(&priorities[b].worth));
-        Shedder {
-            f: 1.0,
-            alpha_thresh: None,
-            samples: Default::default(),
-            steps: 0,
-            quiet: 0.0,
-            priorities,
-            order,
-        }
+        Shedder { f: 1.0, priorities, order, ..Shedder::default() }
     }
 
     /// The accumulator (Kasera IV-D): whether one request of this priority passes.
@@ -572,7 +565,7 @@
     /// Attempts out at the usable servers, averaged over picks; sends of late; attempts saved up.
     mean_out: f64,
     sends: f64,
-    retries: f64,
+    retry_budget: f64,
     shedding: bool,
     subscribe: bool,
 }
@@ -600,13 +593,18 @@
             zones: BTreeMap::new(),
             mean_out: 0.0,
             sends: 0.0,
-            retries: 1.0,
+            retry_budget: 1.0,
             shedding: false,
             subscribe: false,
             cfg,
         }
     }
 
+    /// Further attempts that may be sent at once.
+    pub fn retry_budget(&self) -> f64 {
+        self.retry_budget
+    }
+
     /// What the next process of this gateway must know. What this one has out is out elsewhere for that one.
     pub fn memory(&self) -> Memory {
         let (mut servers, mut customers) = (self.servers.clone(), self.customers.clone());
@@ -622,7 +620,7 @@
             classes: classes.map(|((&units, &latency), &wait)| (units, latency, wait)).collect(),
             mean_out: self.mean_out,
             sends: self.sends,
-            retries: self.retries,
+            retries: self.retry_budget,
         }
     }
 
@@ -642,7 +640,7 @@
         for (class, told) in memory.classes.into_iter().enumerate().take(self.cfg.classes.len()) {
             (self.units[class], self.latency[class], self.waits[class]) = told;
         }
-        (self.mean_out, self.sends, self.retries) = (memory.mean_out, memory.sends, memory.retries);
+        (self.mean_out, self.sends, self.retry_budget) = (memory.mean_out, memory.sends, memory.retries);
     }
 
     /// Follows what another process of this gateway does: the two keep the same accounts.
@@ -840,7 +838,7 @@
         if let Some(c) = self.customers.get_mut(&new.customer) {
             c.take(now, units, inside);
         }
-        self.retries = (self.retries + RETRY.0).min(RETRY.1);
+        self.retry_budget = (self.retry_budget + RETRY_BUDGET.0).min(RETRY_BUDGET.1);
         self.requests.insert(id, request);
         self.end_by(id, new.deadline, actions);
         self.send(id, server, actions);
@@ -1012,7 +1010,7 @@
             self.usable().filter(|s| s.near).map(|s| s.size(mean_size) * s.warmth(now, &self.cfg)).sum();
         let warm_rate = self.sends / life / f64::max(warm, 0.1);
         let noise: Vec<f64> = (0..self.servers.len()).map(|_| self.random.uniform()).collect();
-        let mut best: Option<(f64, ServerId)> = None;
+        let mut best: Option<(f64, f64, ServerId)> = None;
         for (s, noise) in self.servers.values_mut().zip(noise) {
             let usable = s.info.lifecycle == Lifecycle::Running && !self.disabled.contains_key(&s.info.id);
             if !usable || !fits(&s.info) {
@@ -1041,11 +1039,14 @@
                 * if s.near { 1.0 } else { CHOICE.3 }
                 * if warmth < 1.0 { CHOICE.4 } else { 1.0 }
                 * if s.owed { 0.0 } else { 1.0 };
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, s.info.id));
+            if best.is_none_or(|(least, ..)| cost < least) {
+                best = Some((cost, typical * slow, s.info.id));
             }
         }
-        best.map(|(_, id)| id)
+        // Where even this one is too slow, a further attempt is not sent. A first one is, as that shows when
+        // it has recovered; of those the class's mean decides on arrival.
+        let (first, left) = (request.attempts.is_empty(), request.wanted.since(now));
+        best.filter(|(_, takes, _)| first || LEFT_LEAST * takes <= left).map(|(.., id)| id)
     }
 
     fn send(&mut self, id: RequestId, server: ServerId, actions: &mut Vec<Action>) {
@@ -1163,7 +1164,7 @@
         let (server, price) = (self.pick(&r), Self::repeat_price(&r));
         self.requests.insert(id, r);
         let Some(server) = server else { return false };
-        self.retries -= price;
+        self.retry_budget -= price;
         self.send(id, server, actions);
         true
     }
@@ -1179,23 +1180,18 @@
     /// Repeats are load, so they are budgeted, and sent only while an answer can still come within the aim.
     fn worth_again(&self, id: RequestId) -> bool {
         self.requests.get(&id).is_some_and(|r| {
-            let (latency, soon) = (self.latency[r.class], self.now.after(self.cfg.tick));
-            let in_time =
-                self.now.after_secs(latency) < r.wanted && soon.after_secs(LEFT_LEAST * latency) < r.deadline;
-            let more =
-                r.attempts.len() < self.cfg.max_attempts as usize && self.retries >= Self::repeat_price(r);
-            in_time && more && r.open && !r.streaming
+            let in_time = self.now.after_secs(self.latency[r.class]) < r.wanted;
+            let more = r.attempts.len() < self.cfg.max_attempts as usize;
+            in_time && more && self.retry_budget >= Self::repeat_price(r) && r.open && !r.streaming
         })
     }
 
     /// The final answer when nothing more is tried: a refusal where a repeat is harmless, else a failure.
     fn give_up(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id).filter(|r| r.open && !r.streaming) else { return };
-        let harmless = match self.cfg.classes[r.class].effect {
-            Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
-            Effect::Keyed { .. } | Effect::Unsafe => r.ran().is_none(),
-        };
-        if harmless {
+        let effect = self.cfg.classes[r.class].effect;
+        let anywhere = matches!(effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
+        if anywhere || r.ran().is_none() {
             self.refuse(id, self.soon(r.class), actions);
         } else {
             actions.push(Action::Fail { id });
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -960,3 +960,80 @@
     assert!(let_in(75, true) <= 20, "{} of 100 repeats", let_in(75, true));
     assert!(let_in(3, true) >= 60, "{} of 100 repeats where a third of all comes", let_in(3, true));
 }
+
+/// A repeat with little time left went to a server that is many times as slow as its like, where no answer could come in
+/// time, when the others were full or gone; the client was kept waiting for nothing.
+#[test]
+fn a_repeat_is_not_sent_to_a_server_too_slow_for_what_is_left() {
+    let mut door = Door::new(settings(safe(), vec![roomy()]), 4);
+    let others = |door: &mut Door, lifecycle: Lifecycle| {
+        door.list(Scope::Delta, (1..4).map(|id| ServerInfo { lifecycle, ..server(id) }).collect());
+    };
+    for _ in 0..60 {
+        door.serve(0, 0, 1, 60);
+    }
+    for _ in 0..6 {
+        others(&mut door, Lifecycle::Draining);
+        assert_eq!(door.serve(0, 0, 1, 780), Some(ServerId(0)), "it is the only one");
+        others(&mut door, Lifecycle::Running);
+        for _ in 0..30 {
+            door.serve(0, 0, 1, 60);
+        }
+    }
+    // The first attempt's server fails after so long, of the aim of 800 ms, when the slow one alone is left.
+    let repeat = |door: &mut Door, after: u64| {
+        let (id, actions) = door.request(0, 0, 1);
+        assert!(sent(&actions).is_some_and(|server| server != ServerId(0)), "the others are quicker");
+        others(door, Lifecycle::Draining);
+        door.pass(after);
+        let actions = door.settle(id, 0, Status::Error, after);
+        if sent(&actions).is_some() {
+            door.settle(id, 1, Status::Ok, 60);
+        }
+        others(door, Lifecycle::Running);
+        actions
+    };
+    let late = repeat(&mut door, 680);
+    assert!(refused(&late) && sent(&late).is_none(), "at once, and with a time to come back");
+    assert_eq!(sent(&repeat(&mut door, 100)), Some(ServerId(0)), "there is time for this one");
+}
+
+/// A fleet that is slow as a whole is no reason to ask nobody: nothing else would show that it has recovered.
+#[test]
+fn a_fleet_that_is_slow_as_a_whole_is_asked_all_the_same() {
+    let mut door = Door::new(settings(safe(), vec![roomy()]), 4);
+    for _ in 0..60 {
+        door.serve(0, 0, 1, 60);
+    }
+    for n in 0..30 {
+        assert!(door.serve(0, 0, 1, 780).is_some(), "after {n} that took almost the aim of 0.8 s");
+    }
+}
+
+/// Further attempts are a share of the first ones, however much fails.
+#[test]
+fn the_retry_budget_bounds_further_attempts() {
+    for (status, price) in [(Status::Error, 1.0), (Status::Reset, 0.2)] {
+        let mut door = Door::new(settings(safe(), vec![roomy()]), 30);
+        let (mut first, mut further) = (0, 0);
+        for n in 0..2000 {
+            let (id, mut actions) = door.request(0, 0, n % 50);
+            let mut attempt = 0;
+            while sent(&actions).is_some() {
+                *if attempt == 0 { &mut first } else { &mut further } += 1;
+                door.pass(5);
+                actions = door.settle(id, attempt, status, 5);
+                attempt += 1;
+            }
+            door.pass(20);
+            assert!(door.gateway.retry_budget() >= 0.0);
+        }
+        // A tenth of one earned with each first send, and ten saved up, at this price.
+        let most = (0.1 * f64::from(first) + 10.0) / price;
+        assert!(f64::from(further) <= most, "{status:?}: {further} of {first}");
+        assert!(
+            f64::from(further) > 0.8 * most.min(2.9 * f64::from(first)) && first > 500,
+            "{status:?}: {further} of {first}"
+        );
+    }
+}
