Define the list of servers and the calls for it once, in a crate of its own

Change: gateway/src/discovery.rs had the types to itself; they are moved to discovery/src/format.rs as they were, with the call's query (the gateway writes it, a service reads it) beside them.

Tests: properties of both ways (written and read again, spoilt lists, bytes of any kind), calls that cannot be read. One found that fractions of more than fifteen digits are read as a neighbour; weights are to be kept in thousandths.

--- /dev/null
+++ b/discovery/src/lib.rs
@@ -0,0 +1,12 @@
+//! The list of pay servers: how it is written, kept and told.
+//!
+//! - [`format`]: the list and the calls for it, as both ends of the wire have them.
+//! - [`store`]: what is registered, its versions and its history; decides, but does no I/O and reads no clock.
+//! - [`journal`]: the store's changes on a disk, so that nothing that was answered is lost.
+//! - [`http`]: calls and answers as bytes.
+#![forbid(unsafe_code)]
+
+pub mod format;
+pub mod http;
+pub mod journal;
+pub mod store;
--- /dev/null
+++ b/discovery/tests/format.rs
@@ -0,0 +1,96 @@
+//! The list's format: written and read by one definition, and read by bytes of any kind.
+
+use mapledeck_discovery::format::*;
+use proptest::prelude::*;
+use std::time::Duration;
+
+/// In thousandths: longer fractions may be read as a neighbour.
+fn weight() -> impl Strategy<Value = f64> {
+    (0..1_000_000_000_u64).prop_map(|thousandths| thousandths as f64 / 1000.0)
+}
+
+fn host() -> impl Strategy<Value = Host> {
+    let state = prop_oneof![Just(State::Serving), Just(State::Draining), Just(State::Deleted)];
+    (
+        any::<String>(),
+        any::<[u8; 4]>(),
+        any::<u16>(),
+        any::<String>(),
+        any::<u32>(),
+        state,
+        weight(),
+        any::<u64>(),
+    )
+        .prop_map(|(id, ip, port, zone, cell, state, weight, started_ms)| Host {
+            id,
+            addr: (ip, port).into(),
+            kind: zone.chars().rev().collect(),
+            zone,
+            cell,
+            state,
+            weight,
+            started_ms,
+        })
+}
+
+proptest! {
+    #[test]
+    fn what_is_written_is_read_again(hosts in prop::collection::vec(host(), 0..20), version: u64, full: bool) {
+        let text = serde_json::to_vec(&Telling { version, full, servers: hosts.iter().collect() }).unwrap();
+        let list: HostList = serde_json::from_slice(&text).unwrap();
+        prop_assert_eq!((list.version, list.full), (version, full));
+        prop_assert_eq!(list.servers, hosts.into_iter().map(Entry::Readable).collect::<Vec<_>>());
+    }
+
+    #[test]
+    fn a_call_is_read_as_it_is_written(since: u64, millis in 0..100_000_u64) {
+        let ask = Ask::Watch { since, wait: Duration::from_millis(millis) };
+        let target = ask.target();
+        let (path, query) = target.split_once('?').expect("a query");
+        prop_assert_eq!(path, HOSTS);
+        let wait = Duration::from_millis(millis).min(WAIT_MOST);
+        prop_assert_eq!(Ask::of_query(query), Ok(Ask::Watch { since, wait }));
+    }
+
+    #[test]
+    fn bytes_of_any_kind_are_read_or_not_and_never_more(bytes in prop::collection::vec(any::<u8>(), 0..400), query: String) {
+        drop(serde_json::from_slice::<HostList>(&bytes));
+        if let Ok(Ask::Watch { wait, .. }) = Ask::of_query(&query) {
+            prop_assert!(wait <= WAIT_MOST);
+        }
+    }
+
+    /// A good list with some bytes of it changed.
+    #[test]
+    fn a_spoilt_list_is_read_as_far_as_it_goes(hosts in prop::collection::vec(host(), 1..5), spoil in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..4)) {
+        let mut text = serde_json::to_vec(&Telling { version: 1, full: true, servers: hosts.iter().collect() }).unwrap();
+        for (at, byte) in spoil {
+            let at = at.index(text.len());
+            text[at] = byte;
+        }
+        if let Ok(list) = serde_json::from_slice::<HostList>(&text) {
+            prop_assert!(list.servers.is_empty() || list.servers.iter().any(|e| matches!(e, Entry::Readable(_))));
+        }
+    }
+}
+
+#[test]
+fn calls_that_cannot_be_read_name_the_field() {
+    for (query, ask) in [
+        ("", Ok(Ask::Whole)),
+        ("timeout_ms=5", Ok(Ask::Whole)),
+        ("since=0", Ok(Ask::Watch { since: 0, wait: Duration::ZERO })),
+        ("x=1&since=7&timeout_ms=0", Ok(Ask::Watch { since: 7, wait: Duration::ZERO })),
+        ("since=7&timeout_ms=99999999999999999999999", Ok(Ask::Watch { since: 7, wait: WAIT_MOST })),
+        ("since=99999999999999999999999", Ok(Ask::Watch { since: u64::MAX, wait: Duration::ZERO })),
+        ("since=-1", Err("since is no whole number".to_owned())),
+        ("since=+1", Err("since is no whole number".to_owned())),
+        ("since=", Err("since is no whole number".to_owned())),
+        ("since", Err("since is no whole number".to_owned())),
+        ("since=1.5", Err("since is no whole number".to_owned())),
+        ("since=1&since=2", Err("since comes more than once".to_owned())),
+        ("since=1&timeout_ms=1e3", Err("timeout_ms is no whole number".to_owned())),
+    ] {
+        assert_eq!(Ask::of_query(query), ask, "{query:?}");
+    }
+}
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -1,8 +1,8 @@
 //! What a gateway is told at its start: the file that `RELAY_CONFIG` names, and the variables beside it.
 
 use crate::console::CALLERS;
-use crate::discovery::HostList;
 use cherrypulley_drill::Site;
+use mapledeck_discovery::format::HostList;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::{env, fs};
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -1,12 +1,12 @@
-//! The list of servers: its form, the names in it, and the watch that follows it.
+//! The list of servers: the names in it, and the watch that follows it.
 
 use crate::engine::Engine;
 use crate::log::log;
 use crate::upstream::{collect, Link};
 use cherrypulley::{Discovery as Method, Event, Lifecycle, Random, Scope, ServerId, ServerInfo, Time};
 use hyper::{Request, StatusCode};
+use mapledeck_discovery::format::{Ask, Entry, Host, HostList, State};
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -48,62 +48,6 @@
     }
 }
 
-/// A list of servers as discovery words it.
-#[derive(Debug, Deserialize)]
-pub struct HostList {
-    version: u64,
-    full: bool,
-    #[serde(deserialize_with = "readable")]
-    servers: Vec<Entry>,
-}
-
-/// An entry of a list. One that cannot be read must not void the others.
-#[derive(Debug)]
-enum Entry {
-    Readable(Host),
-    /// Which server it means, if that can be read: whatever became of it, it may not be used any more.
-    Spoilt(Option<String>),
-}
-
-fn readable<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<Vec<Entry>, D::Error> {
-    let entries: Vec<Entry> = Vec::<Value>::deserialize(deserializer)?
-        .into_iter()
-        .map(|entry| {
-            let id = entry.get("id").and_then(Value::as_str).map(str::to_owned);
-            serde_json::from_value(entry).map_or(Entry::Spoilt(id), Entry::Readable)
-        })
-        .collect();
-    if !entries.is_empty() && entries.iter().all(|entry| matches!(entry, Entry::Spoilt(_))) {
-        return Err(serde::de::Error::custom("no entry can be read"));
-    }
-    Ok(entries)
-}
-
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct Host {
-    id: String,
-    addr: SocketAddr,
-    #[serde(default)]
-    zone: String,
-    #[serde(default)]
-    kind: String,
-    #[serde(default)]
-    cell: u32,
-    state: State,
-    #[serde(default)]
-    weight: f64,
-    #[serde(default)]
-    started_ms: u64,
-}
-
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-#[serde(rename_all = "UPPERCASE")]
-enum State {
-    Serving,
-    Draining,
-    Deleted,
-}
-
 /// Numbers for names: those of the settings keep their places, others follow as they turn up, and what comes
 /// after the last one counts as one name: names that are ever new would grow without bound.
 struct Names(Vec<String>);
@@ -380,10 +324,7 @@
         since: Option<u64>,
         link: &mut Option<Link>,
     ) -> Result<HostList, Failed> {
-        let path = match since {
-            Some(version) => format!("/discovery/hosts?since={version}&timeout_ms={}", WAIT.as_millis()),
-            None => "/discovery/hosts".to_owned(),
-        };
+        let ask = since.map_or(Ask::Whole, |since| Ask::Watch { since, wait: WAIT });
         // The agent may have closed the connection since, or said that it would: no reason to wait with the call.
         if let Some(kept) = link {
             if !kept.ready().await || !kept.clean() {
@@ -394,7 +335,7 @@
             Some(kept) => kept,
             None => link.insert(Link::open(agent, PATIENCE, None).await?),
         };
-        let request = Request::get(path).header("host", agent.to_string()).body(Default::default());
+        let request = Request::get(ask.target()).header("host", agent.to_string()).body(Default::default());
         let answer = link.send(request?).await?;
         let status = answer.status();
         let body = collect(answer.into_body()).await.ok_or("an answer that is cut off or too long")?;
