--- /dev/null
+++ b/discovery/tests/cases.rs
@@ -0,0 +1,255 @@
+//! Single cases of the store and its journal: leases, revisions, history, damage.
+
+use mapledeck_discovery::format::*;
+use mapledeck_discovery::journal::{Folder, Journal};
+use mapledeck_discovery::store::*;
+use std::fs;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+const UNIX: u64 = 1_700_000_000_000;
+
+fn secs(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+fn store() -> Store {
+    let mut store = Store::default();
+    let opened = store.opened(UNIX);
+    store.apply(opened, secs(0));
+    store
+}
+
+fn server(id: &str, port: u16) -> Registration {
+    let addr = ([127, 0, 0, 1], port).into();
+    Registration { id: id.into(), addr, zone: "a".into(), kind: "k".into(), cell: 1, weight: 1.0 }
+}
+
+fn register(id: &str, port: u16, lease: Option<u64>, revision: Option<u64>) -> Command {
+    Command::Register { server: server(id, port), lease: lease.map(secs), revision }
+}
+
+/// Carries a command out; the entry's revision then.
+fn done(store: &mut Store, command: Command, now: Duration) -> Result<u64, Refusal> {
+    match store.decide(&command, now, UNIX)? {
+        Decision::Change(record) => store.apply(record, now),
+        Decision::Renew(id) => store.renew(&id, now),
+        Decision::Nothing => {}
+    }
+    Ok(store.version())
+}
+
+#[test]
+fn a_lease_that_is_renewed_lasts_and_one_that_ends_is_over_at_that_instant() {
+    let mut store = store();
+    done(&mut store, register("s", 1, Some(5), None), secs(0)).expect("new");
+    let version = store.version();
+    done(&mut store, Command::Renew { id: "s".into() }, secs(4)).expect("it lasts");
+    // The same again is a renewal too, and nothing that is told.
+    done(&mut store, register("s", 1, Some(5), None), secs(8)).expect("it lasts");
+    assert_eq!((store.version(), store.next_end()), (version, Some(secs(13))));
+    assert_eq!(store.ended(secs(12)), None);
+    // As it ends it has ended, whether that was recorded or not.
+    assert_eq!(done(&mut store, Command::Renew { id: "s".into() }, secs(13)), Err(Refusal::Unknown));
+    let gone = store.ended(secs(13)).expect("it has ended");
+    store.apply(gone, secs(13));
+    assert!(store.is_empty() && store.ended(secs(99)).is_none());
+    assert!(matches!(store.newer(version), Newer::Changes(hosts) if hosts[0].state == State::Deleted));
+    let Newer::Whole(hosts) = store.newer(0) else { panic!("all of it") };
+    assert!(hosts.is_empty(), "what is gone is only among changes");
+}
+
+#[test]
+fn a_registration_after_the_end_is_a_new_start_and_one_before_it_is_not() {
+    let mut store = store();
+    let started = |store: &Store| store.whole()[0].started_ms;
+    let at = |store: &mut Store, command: &Command, now, unix| match store.decide(command, now, unix) {
+        Ok(Decision::Change(record)) => store.apply(record, now),
+        other => panic!("{other:?}"),
+    };
+    at(&mut store, &register("s", 1, Some(5), None), secs(0), UNIX);
+    let revision = store.version();
+    at(&mut store, &register("s", 2, Some(5), Some(revision)), secs(1), UNIX + 1000);
+    assert_eq!(started(&store), UNIX, "an entry that has moved has not started anew");
+    at(&mut store, &register("s", 2, Some(5), None), secs(6), UNIX + 6000);
+    assert_eq!(started(&store), UNIX + 6000, "its lease had ended, though nobody had recorded that");
+}
+
+#[test]
+fn an_id_at_two_addresses_is_the_first_ones_until_its_revision_is_named() {
+    let mut store = store();
+    let revision = done(&mut store, register("s", 1, Some(5), None), secs(0)).expect("new");
+    let other = || register("s", 2, Some(5), None);
+    assert_eq!(done(&mut store, other(), secs(1)), Err(Refusal::Conflict { revision }));
+    let stale = register("s", 2, Some(5), Some(revision - 1));
+    assert_eq!(done(&mut store, stale, secs(1)), Err(Refusal::Conflict { revision }));
+    let moved = done(&mut store, register("s", 2, Some(5), Some(revision)), secs(1)).expect("named");
+    assert!(moved > revision);
+    let late = Command::Deregister { id: "s".into(), revision: Some(revision) };
+    assert_eq!(done(&mut store, late, secs(1)), Err(Refusal::Conflict { revision: moved }));
+    assert_eq!(store.whole()[0].addr.port(), 2);
+}
+
+#[test]
+fn a_drain_asked_for_twice_is_told_once_and_outlasts_a_registration() {
+    let mut store = store();
+    done(&mut store, register("s", 1, None, None), secs(0)).expect("new");
+    let drain = Command::Drain { id: "s".into(), revision: None };
+    let version = done(&mut store, drain.clone(), secs(1)).expect("known");
+    assert_eq!(done(&mut store, drain, secs(2)), Ok(version));
+    assert_eq!(done(&mut store, register("s", 1, None, None), secs(3)), Ok(version));
+    assert_eq!(store.whole()[0].state, State::Draining);
+    assert!(
+        done(&mut store, Command::Undrain { id: "s".into(), revision: None }, secs(4)).expect("known")
+            > version
+    );
+    for command in [Command::Drain { id: "x".into(), revision: None }, Command::Renew { id: "x".into() }] {
+        assert_eq!(done(&mut store, command, secs(5)), Err(Refusal::Unknown));
+    }
+}
+
+#[test]
+fn watches_older_than_the_history_or_of_another_store_get_the_whole_list() {
+    let mut store = store();
+    let first = store.version();
+    assert!(matches!(store.newer(first), Newer::Nothing));
+    done(&mut store, register("kept", 1, None, None), secs(0)).expect("new");
+    for n in 0..5000_u16 {
+        let command = if n % 2 == 0 {
+            register("s", n, None, None)
+        } else {
+            Command::Deregister { id: "s".into(), revision: None }
+        };
+        done(&mut store, command, secs(1)).expect("done");
+    }
+    let version = store.version();
+    assert!(matches!(store.newer(version - 3), Newer::Changes(hosts) if hosts.len() == 1), "told once");
+    assert!(matches!(store.newer(version - 4000), Newer::Changes(_)));
+    for foreign in [0, 1, first, first + 1, version + 1, u64::MAX] {
+        assert!(matches!(store.newer(foreign), Newer::Whole(hosts) if hosts.len() == 1), "{foreign}");
+    }
+    // A store that was made a millisecond earlier or later has other versions.
+    for unix in [UNIX - 1, UNIX + 100] {
+        let Record::Opened { version: other } = Store::default().opened(unix) else { panic!("a version") };
+        assert!(matches!(store.newer(other), Newer::Whole(_)), "{other} beside {first} to {version}");
+    }
+}
+
+#[test]
+fn a_list_longer_than_gateways_read_is_not_made() {
+    let mut store = store();
+    let mut held = 0;
+    let refused = (0..2000).find_map(|n| {
+        let result = done(&mut store, register(&format!("server-{n:0>100}"), 1, None, None), secs(0));
+        held += usize::from(result.is_ok());
+        result.err()
+    });
+    assert_eq!(refused, Some(Refusal::TooLong));
+    assert!(store.telling(None).expect("a list").len() <= LIST_MOST && held > 200, "{held}");
+    let one = Command::Deregister { id: format!("server-{:0>100}", 0), revision: None };
+    done(&mut store, one, secs(0)).expect("known");
+    done(&mut store, register("s", 1, None, None), secs(0)).expect("there is room again");
+}
+
+/// A folder of this test's own.
+fn folder() -> PathBuf {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let name = format!("mapledeck-discovery-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
+    std::env::temp_dir().join(name)
+}
+
+fn open(path: &PathBuf) -> Result<(Journal<Folder>, Vec<Record>, u64), String> {
+    let folder = Folder::take(path).map_err(|e| e.to_string())?.ok_or("taken")?;
+    let (journal, held) = Journal::open(folder).map_err(|e| e.to_string())?;
+    Ok((journal, held.records, held.cut))
+}
+
+fn gone(version: u64) -> Record {
+    Record::Gone { version, id: "s".into() }
+}
+
+#[test]
+fn a_folder_is_one_processs_and_a_torn_tail_is_cut_off() {
+    let path = folder();
+    let (mut journal, ..) = open(&path).expect("new");
+    assert_eq!(open(&path).err().as_deref(), Some("taken"));
+    journal.append(&[gone(1), gone(2)]).expect("written");
+    journal.append(&[gone(3)]).expect("written");
+    let length = journal.length();
+    drop(journal);
+    let log = path.join("log.1");
+    let whole = fs::read(&log).expect("there");
+    assert_eq!(whole.len() as u64, length);
+    // Cut anywhere in the last frame, and with an end that was never written.
+    let (mut journal, records, _) = open(&path).expect("whole");
+    assert_eq!(records, [gone(1), gone(2), gone(3)]);
+    journal.append(&[gone(4)]).expect("written");
+    drop(journal);
+    let longer = fs::read(&log).expect("there");
+    for keep in whole.len()..longer.len() {
+        for zeros in [0, 5, 100] {
+            let mut torn = longer[..keep].to_vec();
+            torn.extend(std::iter::repeat_n(0, zeros));
+            let cut = (torn.len() - whole.len()) as u64;
+            fs::write(&log, torn).expect("written");
+            let (_, records, told) = open(&path).unwrap_or_else(|e| panic!("{keep}, {zeros}: {e}"));
+            assert_eq!((records.len(), told), (3, cut), "{keep}, {zeros}");
+            assert_eq!(fs::read(&log).expect("there"), whole);
+        }
+    }
+    drop(fs::remove_dir_all(&path));
+}
+
+#[test]
+fn damage_elsewhere_ends_the_start_and_names_the_place() {
+    let path = folder();
+    let (mut journal, ..) = open(&path).expect("new");
+    for version in 1..4 {
+        journal.append(&[gone(version)]).expect("written");
+    }
+    drop(journal);
+    let log = path.join("log.1");
+    let good = fs::read(&log).expect("there");
+    let frame = (good.len() - 8) / 3;
+    for at in 0..good.len() {
+        let mut bad = good.clone();
+        bad[at] ^= 0x41;
+        fs::write(&log, &bad).expect("written");
+        let e = open(&path).err().unwrap_or_else(|| panic!("byte {at} goes unseen"));
+        let place = if at < 8 { 0 } else { 8 + (at - 8) / frame * frame };
+        assert!(e.starts_with(&format!("log.1 is damaged at byte {place}: ")), "byte {at}: {e}");
+        assert_eq!(fs::read(&log).expect("there"), bad, "and nothing is touched");
+    }
+    fs::write(&log, &good).expect("written");
+    let snapshot = path.join("snap.1");
+    let image = fs::read(&snapshot).expect("there");
+    for bad in [&image[..image.len() - 1], b"", b"MDDSNP01", &[b'x'; 40]] {
+        fs::write(&snapshot, bad).expect("written");
+        let e = open(&path).err().expect("it is seen");
+        assert!(e.starts_with("snap.1 is damaged at byte "), "{e}");
+    }
+    fs::remove_file(&snapshot).expect("there");
+    assert!(open(&path).err().expect("it is seen").starts_with("log.1 is damaged at byte 0: "));
+    drop(fs::remove_dir_all(&path));
+}
+
+#[test]
+fn a_snapshot_holds_what_the_log_held() {
+    let mut first = store();
+    for n in 0..50 {
+        done(&mut first, register(&format!("s-{n}"), n, (n % 3 > 0).then_some(60), None), secs(0))
+            .expect("new");
+    }
+    let version = first.version();
+    done(&mut first, Command::Deregister { id: "s-7".into(), revision: None }, secs(1)).expect("known");
+    let text = serde_json::to_vec(&first.image()).expect("JSON");
+    let image: Image = serde_json::from_slice(&text).expect("an image");
+    let second = Store::restore(image, [], secs(1000));
+    assert_eq!(second.image(), first.image());
+    assert_eq!(second.telling(None), first.telling(None));
+    assert_eq!(second.telling(Some(version)), first.telling(Some(version)), "and the history");
+    // All leases begin anew.
+    assert_eq!(second.next_end(), Some(secs(1060)));
+    assert_eq!(second.ended(secs(1059)), None);
+}
