Serve the list: registration under leases, watches that share one encoding, bounds

Changes are gathered for 20 ms, encoded once for all who hold the same version; connections, watches and whole lists a second are bounded, over a bound 503 with Retry-After; 400, 404, 405, 408, 409, 413, 431 with one line that names the field. Calls are read with httparse: hyper answers half a call with a close, not with 408.

--- /dev/null
+++ b/discovery/src/main.rs
@@ -0,0 +1,78 @@
+//! The list service: who registers, drains and leaves, and who watches.
+#![forbid(unsafe_code)]
+
+mod config;
+mod service;
+
+use config::Config;
+use mapledeck_discovery::journal::{Folder, Journal};
+use mapledeck_discovery::store::Store;
+use service::{unix_ms, Service};
+use std::fmt::Display;
+use std::io::{self, Write};
+use std::process::ExitCode;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, LocalOptions};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::spawn_local;
+
+/// Writes a line to standard error. Guards against `eprintln!`, which panics when nobody reads it any more.
+fn log(line: impl Display) {
+    drop(writeln!(io::stderr().lock(), "mapledeck-discovery: {line}"));
+}
+
+fn main() -> ExitCode {
+    let config = match Config::load(std::env::args_os().skip(1)) {
+        Ok(config) => config,
+        Err(e) => {
+            log(e);
+            return ExitCode::from(2);
+        }
+    };
+    match begin(config) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            log(e);
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn begin(config: Config) -> Result<(), String> {
+    let place = |e: &dyn Display| format!("{}: {e}", config.data.display());
+    let folder = Folder::take(&config.data).map_err(|e| place(&e))?;
+    let folder = folder.ok_or_else(|| place(&"another process has it"))?;
+    let (mut journal, held) = Journal::open(folder).map_err(|e| place(&e))?;
+    if held.cut > 0 {
+        log(format_args!("cut off {} bytes at the log's end that nobody was told of", held.cut));
+    }
+    let mut store = Store::restore(held.image, held.records, Duration::ZERO);
+    let opened = store.opened(unix_ms());
+    journal.append(std::slice::from_ref(&opened)).map_err(|e| place(&e))?;
+    store.apply(opened, Duration::ZERO);
+    let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
+    let runtime = runtime.map_err(|e| e.to_string())?;
+    runtime.block_on(serve(config, store, journal)).map_err(|e| e.to_string())
+}
+
+async fn serve(config: Config, store: Store, journal: Journal<Folder>) -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let listener = TcpListener::bind(config.listen).await?;
+    let listen = listener.local_addr()?;
+    log(format_args!("version {}, {} servers", store.version(), store.len()));
+    let service = Service::new(config, store, journal);
+    let leases = service.clone();
+    spawn_local(async move { leases.end_leases().await });
+    let changes = service.clone();
+    spawn_local(async move { changes.tell_changes().await });
+    log(format_args!("listening on {listen}"));
+    tokio::select! {
+        () = service.accept(&listener) => {}
+        _ = terminate.recv() => {}
+    }
+    drop(listener);
+    // Watches that wait are answered with what there is, and find another address or come back.
+    service.close().await;
+    Ok(())
+}
--- /dev/null
+++ b/discovery/src/service.rs
@@ -0,0 +1,424 @@
+//! Connections to the store: calls carried out, watches that wait, leases that end.
+
+use crate::config::Config;
+use crate::log;
+use mapledeck_discovery::format::Ask;
+use mapledeck_discovery::http::{self, No, Read, Request, BODY_MOST, HEAD_MOST};
+use mapledeck_discovery::journal::{Folder, Journal};
+use mapledeck_discovery::store::{Command, Decision, Record, Refusal, Store};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{watch, Notify};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
+
+/// A call that has begun has this long to come.
+const CALL_MOST: Duration = Duration::from_millis(2500);
+/// A connection on which nothing is asked for this long is closed: longer than any watch waits, so that a half-open one
+/// goes at last.
+const IDLE_MOST: Duration = Duration::from_secs(75);
+/// Whoever takes nothing of an answer for this long is given up, and so no more than one answer waits for anybody.
+const WRITE_MOST: Duration = Duration::from_secs(5);
+/// After SIGTERM the last answers have this long.
+const CLOSE_MOST: Duration = Duration::from_secs(2);
+/// After a write that failed, the end of a lease is tried again.
+const RETRY: Duration = Duration::from_secs(1);
+/// Pause after an accept that failed, for want of descriptors above all.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Answers that are kept to be shared: those who watch hold a few versions at the most.
+const SHARED_MOST: usize = 64;
+
+pub fn unix_ms() -> u64 {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(unix.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// An answer, one for all who get the same.
+type Shared = Rc<[u8]>;
+
+/// Answers as they were encoded for the store's version.
+#[derive(Default)]
+struct Encoded {
+    version: u64,
+    /// By the version that the caller holds.
+    by_since: HashMap<Option<u64>, Shared>,
+}
+
+/// Whole lists that may be sent, which refill with time.
+struct Whole {
+    left: f64,
+    at: Instant,
+}
+
+pub struct Service {
+    config: Config,
+    begun: Instant,
+    store: RefCell<Store>,
+    journal: RefCell<Journal<Folder>>,
+    encoded: RefCell<Encoded>,
+    whole: RefCell<Whole>,
+    /// The version that those who wait have been woken for.
+    told: watch::Sender<u64>,
+    gathering: Cell<bool>,
+    changed: Notify,
+    /// A lease may end sooner than it was reckoned.
+    leases: Notify,
+    connections: Cell<usize>,
+    watches: Cell<usize>,
+    encodings: Cell<u64>,
+    bytes: Cell<u64>,
+    closing: watch::Sender<bool>,
+    left: Notify,
+}
+
+/// A place among those that are bounded.
+struct Place<'a>(&'a Cell<usize>);
+
+impl<'a> Place<'a> {
+    fn take(count: &'a Cell<usize>, most: usize) -> Option<Place<'a>> {
+        (count.get() < most).then(|| {
+            count.set(count.get() + 1);
+            Place(count)
+        })
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Service {
+    pub fn new(config: Config, store: Store, journal: Journal<Folder>) -> Rc<Service> {
+        let begun = Instant::now();
+        let whole = Whole { left: f64::from(config.limits.whole_lists_per_s), at: begun };
+        Rc::new(Service {
+            begun,
+            told: watch::channel(store.version()).0,
+            store: RefCell::new(store),
+            journal: RefCell::new(journal),
+            encoded: RefCell::default(),
+            whole: RefCell::new(whole),
+            gathering: Cell::new(false),
+            changed: Notify::new(),
+            leases: Notify::new(),
+            connections: Cell::new(0),
+            watches: Cell::new(0),
+            encodings: Cell::new(0),
+            bytes: Cell::new(0),
+            closing: watch::channel(false).0,
+            left: Notify::new(),
+            config,
+        })
+    }
+
+    /// Time on the store's clock.
+    fn now(&self) -> Duration {
+        self.begun.elapsed()
+    }
+
+    /// Accepts connections until dropped.
+    pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
+        let mut logged = false;
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => drop(spawn_local(self.clone().hear(stream))),
+                Err(e) => {
+                    if !std::mem::replace(&mut logged, true) {
+                        log(format_args!("accept: {e}"));
+                    }
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Answers whoever waits and closes all connections.
+    pub async fn close(&self) {
+        self.closing.send_replace(true);
+        let until = Instant::now() + CLOSE_MOST;
+        while self.connections.get() > 0 && Instant::now() < until {
+            drop(timeout_at(until, self.left.notified()).await);
+        }
+    }
+
+    async fn hear(self: Rc<Self>, mut stream: TcpStream) {
+        drop(stream.set_nodelay(true));
+        let Some(place) = Place::take(&self.connections, self.config.limits.connections) else {
+            let busy = http::no(&No::busy("too many connections"), false);
+            drop(timeout(WRITE_MOST, stream.write_all(&busy)).await);
+            return;
+        };
+        self.converse(&mut stream).await;
+        drop(stream);
+        drop(place);
+        self.left.notify_one();
+    }
+
+    /// Calls one after another, until one of the two has had enough.
+    async fn converse(&self, stream: &mut TcpStream) {
+        let mut come = Vec::new();
+        let mut closing = self.closing.subscribe();
+        loop {
+            let (call, used) = match self.call(stream, &mut come, &mut closing).await {
+                Ok(Some(call)) => call,
+                Ok(None) => return,
+                Err(no) => {
+                    self.write(stream, &http::no(&no, false)).await;
+                    // What it still sends would reset the connection, and the answer with it.
+                    drop(stream.shutdown().await);
+                    drop(
+                        timeout(Duration::from_secs(1), tokio::io::copy(stream, &mut tokio::io::sink()))
+                            .await,
+                    );
+                    return;
+                }
+            };
+            come.drain(..used);
+            let keeps = call.keeps && !*closing.borrow();
+            let answer = match http::understood(&call) {
+                Ok(Request::Hosts(ask)) => {
+                    tokio::select! {
+                        answer = self.hosts(ask, &mut closing) => answer,
+                        // One that has gone is not waited with.
+                        () = gone(stream) => return,
+                    }
+                }
+                Ok(request) => self.carry_out(request).map(|body| http::yes(&body, true).into()),
+                Err(no) => Err(no),
+            };
+            let answer = answer.unwrap_or_else(|no| http::no(&no, true).into());
+            let ends = !keeps || *closing.borrow();
+            let written = if ends {
+                self.write(stream, &closed(&answer)).await
+            } else {
+                self.write(stream, &answer).await
+            };
+            if !written || ends {
+                return;
+            }
+        }
+    }
+
+    /// Waits for a whole call, and how many bytes it took; `None` when the connection is over.
+    async fn call(
+        &self,
+        stream: &mut TcpStream,
+        come: &mut Vec<u8>,
+        closing: &mut watch::Receiver<bool>,
+    ) -> Result<Option<(http::Call, usize)>, No> {
+        let mut until = Instant::now() + if come.is_empty() { IDLE_MOST } else { CALL_MOST };
+        loop {
+            match http::read(come) {
+                Read::Whole(call, used) => return Ok(Some((call, used))),
+                Read::Unreadable(no) => return Err(no),
+                Read::Part => {}
+            }
+            let mut piece = [0; 2048];
+            let begun = !come.is_empty();
+            let read = tokio::select! {
+                read = timeout_at(until, stream.read(&mut piece)) => read,
+                _ = closing.wait_for(|closing| *closing), if !begun => return Ok(None),
+            };
+            match read {
+                Ok(Ok(0) | Err(_)) => return Ok(None),
+                Ok(Ok(n)) => {
+                    if !begun {
+                        until = Instant::now() + CALL_MOST;
+                    }
+                    come.extend_from_slice(&piece[..n]);
+                    // More than a call and the beginning of the next is nobody's here.
+                    if come.len() > HEAD_MOST + 2 * BODY_MOST + 2048 {
+                        return Err(No::new(413, "more than one call at a time"));
+                    }
+                }
+                Err(_) if begun => return Err(No::new(408, "the call did not come in time")),
+                Err(_) => return Ok(None),
+            }
+        }
+    }
+
+    async fn write(&self, stream: &mut TcpStream, answer: &[u8]) -> bool {
+        self.bytes.set(self.bytes.get() + answer.len() as u64);
+        matches!(timeout(WRITE_MOST, stream.write_all(answer)).await, Ok(Ok(())))
+    }
+
+    /// The list, or what is newer than the caller's as soon as there is something.
+    async fn hosts(&self, ask: Ask, closing: &mut watch::Receiver<bool>) -> Result<Shared, No> {
+        let Ask::Watch { since, wait } = ask else { return self.telling(None) };
+        if since != self.store.borrow().version() || wait.is_zero() {
+            return self.telling(Some(since));
+        }
+        let busy = || No::busy("too many watches");
+        let _place = Place::take(&self.watches, self.config.limits.watches).ok_or_else(busy)?;
+        let mut told = self.told.subscribe();
+        tokio::select! {
+            _ = told.wait_for(|told| *told > since) => {}
+            _ = closing.wait_for(|closing| *closing) => {}
+            () = sleep(wait) => {}
+        }
+        self.telling(Some(since))
+    }
+
+    /// The answer for whoever holds this version, encoded once for all of them.
+    fn telling(&self, since: Option<u64>) -> Result<Shared, No> {
+        let store = self.store.borrow();
+        let mut encoded = self.encoded.borrow_mut();
+        if encoded.version != store.version() || encoded.by_since.len() >= SHARED_MOST {
+            *encoded = Encoded { version: store.version(), by_since: HashMap::new() };
+        }
+        // Whoever holds nothing that this store knows gets the same as whoever holds nothing.
+        let since = since.filter(|&since| store.knows(since));
+        if since.is_none() && !self.whole.borrow_mut().take(self.config.limits.whole_lists_per_s) {
+            return Err(No::busy("too many whole lists"));
+        }
+        let answer = encoded.by_since.entry(since).or_insert_with(|| {
+            self.encodings.set(self.encodings.get() + 1);
+            http::yes(&store.telling(since).unwrap_or_else(|| store.nothing()), true).into()
+        });
+        Ok(answer.clone())
+    }
+
+    /// Carries out what is no call for the list.
+    fn carry_out(&self, request: Request) -> Result<Vec<u8>, No> {
+        match request {
+            Request::Command(command) => self.command(&command),
+            Request::Show { id } => self.shown(&id),
+            Request::Status => Ok(self.status()),
+            Request::Hosts(_) => Err(No::new(500, "not here")),
+        }
+    }
+
+    fn command(&self, command: &Command) -> Result<Vec<u8>, No> {
+        let decision = self.store.borrow().decide(command, self.now(), unix_ms())?;
+        match decision {
+            Decision::Nothing => {}
+            Decision::Renew(id) => self.store.borrow_mut().renew(&id, self.now()),
+            Decision::Change(record) => self.change(record).map_err(|e| {
+                log(format_args!("not written: {e}"));
+                No::busy("the change could not be written, and was not made")
+            })?,
+        }
+        match command {
+            Command::Register { server, .. } => self.shown(&server.id),
+            Command::Renew { id } | Command::Drain { id, .. } | Command::Undrain { id, .. } => self.shown(id),
+            Command::Deregister { id, .. } => Ok(json(&serde_json::json!({ "id": id, "state": "DELETED" }))),
+        }
+    }
+
+    fn shown(&self, id: &str) -> Result<Vec<u8>, No> {
+        let store = self.store.borrow();
+        let shown = store.show(id, self.now()).ok_or(Refusal::Unknown)?;
+        Ok(json(&shown))
+    }
+
+    fn status(&self) -> Vec<u8> {
+        let (store, journal) = (self.store.borrow(), self.journal.borrow());
+        json(&serde_json::json!({
+            "version": store.version(),
+            "servers": store.len(),
+            "connections": self.connections.get(),
+            "watches": self.watches.get(),
+            "log_bytes": journal.length(),
+            "encodings": self.encodings.get(),
+            "bytes_written": self.bytes.get(),
+        }))
+    }
+
+    /// Makes a change durable, then makes it, and has those who wait told of it.
+    fn change(&self, record: Record) -> std::io::Result<()> {
+        let mut journal = self.journal.borrow_mut();
+        journal.append(std::slice::from_ref(&record))?;
+        self.store.borrow_mut().apply(record, self.now());
+        if journal.long() {
+            if let Err(e) = journal.compact(&self.store.borrow().image()) {
+                log(format_args!("no snapshot was made: {e}"));
+            }
+        }
+        self.leases.notify_one();
+        self.tell();
+        Ok(())
+    }
+
+    /// Wakes those who wait, a moment later: what comes in the meantime is told along.
+    fn tell(&self) {
+        if !self.gathering.replace(true) {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Tells of changes, for good.
+    pub async fn tell_changes(&self) {
+        loop {
+            self.changed.notified().await;
+            sleep(Duration::from_millis(self.config.limits.gather_ms)).await;
+            self.gathering.set(false);
+            self.told.send_replace(self.store.borrow().version());
+        }
+    }
+
+    fn ended(&self) -> Option<Record> {
+        self.store.borrow().ended(self.now())
+    }
+
+    /// Ends leases as their time comes, for good.
+    pub async fn end_leases(&self) {
+        loop {
+            while let Some(record) = self.ended() {
+                let Record::Gone { id, .. } = &record else { break };
+                let line = format!("the lease of {id:?} has ended");
+                if let Err(e) = self.change(record) {
+                    log(format_args!("not written: {e}"));
+                    sleep(RETRY).await;
+                } else {
+                    log(line);
+                }
+            }
+            let next = self.store.borrow().next_end().map(|end| self.begun + end);
+            tokio::select! {
+                () = sleep_until(next.unwrap_or_else(|| Instant::now() + IDLE_MOST)) => {}
+                () = self.leases.notified() => {}
+            }
+        }
+    }
+}
+
+impl Whole {
+    /// Takes one; whether there is one.
+    fn take(&mut self, rate: u32) -> bool {
+        let (now, rate) = (Instant::now(), f64::from(rate));
+        self.left = (self.left + (now - self.at).as_secs_f64() * rate).min(rate);
+        self.at = now;
+        let takes = self.left >= 1.0;
+        self.left -= if takes { 1.0 } else { 0.0 };
+        takes
+    }
+}
+
+fn json(value: &impl serde::Serialize) -> Vec<u8> {
+    // Names, numbers and addresses: there is nothing in it that JSON cannot hold.
+    serde_json::to_vec(value).unwrap_or_default()
+}
+
+/// The same answer, after which the connection is closed.
+fn closed(answer: &[u8]) -> Vec<u8> {
+    let line = answer.windows(2).position(|end| end == b"\r\n").map_or(answer.len(), |at| at + 2);
+    [&answer[..line], b"Connection: close\r\n", &answer[line..]].concat()
+}
+
+/// Waits until the caller has closed its connection; what else it sends is its next call.
+async fn gone(stream: &TcpStream) {
+    let mut byte = [0];
+    loop {
+        match stream.peek(&mut byte).await {
+            Ok(0) | Err(_) => return,
+            // Seen again and again otherwise.
+            Ok(_) => std::future::pending().await,
+        }
+    }
+}
--- a/discovery/src/store.rs
+++ b/discovery/src/store.rs
@@ -351,12 +351,17 @@
         self.entries.values().map(|kept| &kept.host).collect()
     }
 
+    /// Whether what has changed since this version can be told.
+    pub fn knows(&self, since: u64) -> bool {
+        (self.floor..=self.version).contains(&since)
+    }
+
     /// What whoever holds this version does not know yet.
     pub fn newer(&self, since: u64) -> Newer<'_> {
         if since == self.version {
             return Newer::Nothing;
         }
-        if since < self.floor || since > self.version {
+        if !self.knows(since) {
             return Newer::Whole(self.whole());
         }
         let from = self.history.partition_point(|(version, _)| *version <= since);
--- a/discovery/tests/cases.rs
+++ b/discovery/tests/cases.rs
@@ -4,7 +4,7 @@
 use mapledeck_discovery::journal::{Folder, Journal};
 use mapledeck_discovery::store::*;
 use std::fs;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
@@ -159,7 +159,7 @@
     std::env::temp_dir().join(name)
 }
 
-fn open(path: &PathBuf) -> Result<(Journal<Folder>, Vec<Record>, u64), String> {
+fn open(path: &Path) -> Result<(Journal<Folder>, Vec<Record>, u64), String> {
     let folder = Folder::take(path).map_err(|e| e.to_string())?.ok_or("taken")?;
     let (journal, held) = Journal::open(folder).map_err(|e| e.to_string())?;
     Ok((journal, held.records, held.cut))
--- /dev/null
+++ b/discovery/tests/common/mod.rs
@@ -0,0 +1,169 @@
+//! The built service as a process, and callers on loopback sockets.
+#![allow(dead_code)] // each test file uses its part
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Bound of every wait; only a failure takes that long.
+pub const LONG: Duration = Duration::from_secs(30);
+
+pub fn until(what: &str, mut condition: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < LONG, "waited too long until {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A folder of this test's own.
+pub fn folder() -> PathBuf {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let number = NEXT.fetch_add(1, Ordering::SeqCst);
+    let path = std::env::temp_dir().join(format!("mapledeck-list-{}-{number}", std::process::id()));
+    std::fs::create_dir_all(&path).expect("a folder");
+    path
+}
+
+/// A configuration that listens at an address and keeps its log in a folder; `more` are further fields.
+pub fn config(listen: &str, data: &Path, more: &str) -> String {
+    format!(r#"{{"listen":"{listen}","data":{:?}{more}}}"#, data.join("data"))
+}
+
+/// A service that runs; killed when dropped.
+pub struct Running {
+    pub child: Child,
+    pub addr: SocketAddr,
+    log: Arc<Mutex<String>>,
+}
+
+impl Running {
+    pub fn start(folder: &Path, config: &str) -> Running {
+        let file = folder.join("config.json");
+        std::fs::write(&file, config).expect("written");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_mapledeck-discovery"))
+            .arg(&file)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("it starts");
+        let log: Arc<Mutex<String>> = Arc::default();
+        let (lines, errors) = (log.clone(), child.stderr.take().expect("piped"));
+        thread::spawn(move || {
+            for line in BufReader::new(errors).lines().map_while(Result::ok) {
+                *lines.lock().unwrap() += &(line + "\n");
+            }
+        });
+        let mut addr = None;
+        until("it listens", || {
+            let log = log.lock().unwrap();
+            addr =
+                log.lines().find_map(|l| l.strip_prefix("mapledeck-discovery: listening on ")?.parse().ok());
+            addr.is_some()
+        });
+        Running { child, addr: addr.expect("listening"), log }
+    }
+
+    pub fn log(&self) -> String {
+        self.log.lock().unwrap().clone()
+    }
+
+    pub fn client(&self) -> Client {
+        Client::connect(self.addr)
+    }
+
+    pub fn kill(mut self) {
+        self.child.kill().expect("it ran");
+        self.child.wait().expect("waited for");
+    }
+
+    pub fn terminate(&self) {
+        let sent = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        assert!(sent.expect("kill runs").success());
+    }
+
+    pub fn exit(&mut self) -> ExitStatus {
+        let mut status = None;
+        until("it exits", || {
+            status = self.child.try_wait().expect("waited for");
+            status.is_some()
+        });
+        status.expect("ended")
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+impl Answer {
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_str(&self.body).unwrap_or_else(|e| panic!("{e}: {self:?}"))
+    }
+}
+
+/// A caller's connection.
+pub struct Client(pub BufReader<TcpStream>);
+
+impl Client {
+    pub fn connect(addr: SocketAddr) -> Client {
+        let stream = TcpStream::connect(addr).expect("connected");
+        stream.set_read_timeout(Some(LONG)).expect("set");
+        Client(BufReader::new(stream))
+    }
+
+    pub fn write(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).expect("written");
+    }
+
+    /// `None` at the end of the connection.
+    pub fn answer(&mut self) -> Option<Answer> {
+        let (mut head, mut length) = (String::new(), 0);
+        loop {
+            let mut line = String::new();
+            self.0.read_line(&mut line).ok().filter(|&n| n > 0)?;
+            if line == "\r\n" {
+                break;
+            }
+            if let Some(value) = line.to_ascii_lowercase().strip_prefix("content-length:") {
+                length = value.trim().parse().expect("a length");
+            }
+            head += &line;
+        }
+        let mut body = vec![0; length];
+        self.0.read_exact(&mut body).ok()?;
+        let status = head.split(' ').nth(1).and_then(|word| word.parse().ok()).expect("a status");
+        Some(Answer { status, head, body: String::from_utf8(body).expect("UTF-8") })
+    }
+
+    pub fn get(&mut self, target: &str) -> Answer {
+        self.write(&format!("GET {target} HTTP/1.1\r\nHost: list\r\n\r\n"));
+        self.answer().expect("an answer")
+    }
+
+    pub fn post(&mut self, path: &str, body: &str) -> Answer {
+        self.write(&format!(
+            "POST {path} HTTP/1.1\r\nHost: list\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        ));
+        self.answer().expect("an answer")
+    }
+
+    pub fn register(&mut self, id: &str, port: u16, more: &str) -> Answer {
+        self.post("/discovery/register", &format!(r#"{{"id":"{id}","addr":"127.0.0.1:{port}"{more}}}"#))
+    }
+}
--- a/discovery/tests/store.rs
+++ b/discovery/tests/store.rs
@@ -376,12 +376,8 @@
                     ended += 1;
                 }
             }
-            Step::Compact => {
-                // An error may leave the generation before, or nothing that can be written to.
-                if world.journal.compact(&world.store.image()).is_ok() {
-                    world.maybe = None;
-                }
-            }
+            // An error may leave the generation before, or nothing that can be written to.
+            Step::Compact if world.journal.compact(&world.store.image()).is_ok() => world.maybe = None,
             Step::Fail { after } => world.disk.0.borrow_mut().fail = Some(*after),
             Step::Crash { after, luck, zeros } => {
                 let mut state = world.disk.0.borrow_mut();
@@ -389,11 +385,9 @@
                 broken = true;
                 crashes += 1;
             }
-            Step::Restart => {
-                if !broken {
-                    world.disk.0.borrow_mut().fail = None;
-                    world.again(&mut watchers);
-                }
+            Step::Restart if !broken => {
+                world.disk.0.borrow_mut().fail = None;
+                world.again(&mut watchers);
             }
             _ => {}
         }
