Test the gateway on the project's own list while servers and the service come and go

Servers join, drain, end their lease and leave, the service is killed and started again, while a bounded client asks: nothing is lost, the old list stands, what drains gets nothing a second after the call, also across the restart. Seen on the way: servers that register have just started, so a gateway holds requests back from a fleet that is all new; the test's settings let them be warm at once.

--- /dev/null
+++ b/gateway/tests/list.rs
@@ -0,0 +1,158 @@
+//! The gateway on the project's own list service: servers join, drain and leave, and the service dies, while requests flow.
+
+mod common;
+
+use common::*;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// The service's program, built beside the gateway's.
+fn program() -> &'static Path {
+    static PROGRAM: OnceLock<PathBuf> = OnceLock::new();
+    PROGRAM.get_or_init(|| {
+        let here = Path::new(env!("CARGO_BIN_EXE_mapledeck")).parent().expect("a folder");
+        let mut build = Command::new(env!("CARGO"));
+        build
+            .args(["build", "--quiet", "--locked", "-p", "mapledeck-discovery"])
+            .current_dir(env!("CARGO_MANIFEST_DIR"));
+        if here.ends_with("release") {
+            build.arg("--release");
+        }
+        assert!(build.status().expect("cargo runs").success());
+        here.join("mapledeck-discovery")
+    })
+}
+
+struct List {
+    child: Child,
+    addr: SocketAddr,
+    folder: PathBuf,
+}
+
+impl List {
+    /// At an address that a former one had, or any.
+    fn start(folder: &Path, addr: Option<SocketAddr>) -> List {
+        let listen = addr.unwrap_or_else(|| {
+            // The system gives a port, which the service is told, as the gateway must know it before.
+            std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+        });
+        let file = folder.join("list.json");
+        let text = format!(r#"{{"listen":"{listen}","data":{:?}}}"#, folder.join("data"));
+        std::fs::write(&file, text).expect("written");
+        let child = Command::new(program()).arg(&file).stderr(Stdio::null()).spawn().expect("it starts");
+        let list = List { child, addr: listen, folder: folder.to_owned() };
+        until("it listens", || std::net::TcpStream::connect(listen).is_ok());
+        list
+    }
+
+    fn call(&self, path: &str, body: &str) -> Message {
+        let mut caller = Client::connect(self.addr);
+        caller.write(&format!("POST {path} HTTP/1.1\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+        caller.answer().expect("an answer")
+    }
+
+    fn register(&self, stub: &Stub, lease: &str) {
+        let body = format!(
+            r#"{{"id":"s-{}","addr":"{}","zone":"sala-a","kind":"std-2c"{lease}}}"#,
+            stub.addr.port(),
+            stub.addr
+        );
+        assert_eq!(self.call("/discovery/register", &body).status(), 200);
+    }
+
+    fn change(&self, path: &str, stub: &Stub) {
+        assert_eq!(self.call(path, &format!(r#"{{"id":"s-{}"}}"#, stub.addr.port())).status(), 200);
+    }
+
+    /// Kills it; where it was, to be started again.
+    fn kill(mut self) -> (PathBuf, SocketAddr) {
+        self.child.kill().expect("it ran");
+        self.child.wait().expect("waited for");
+        (self.folder.clone(), self.addr)
+    }
+}
+
+impl Drop for List {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+/// Requests one after another until told to stop; how many were answered, and what was not served.
+fn flow(addr: SocketAddr, stop: Arc<AtomicBool>) -> thread::JoinHandle<(usize, Vec<String>)> {
+    thread::spawn(move || {
+        let mut client = Client::connect(addr);
+        let (mut asked, mut wrong) = (0, Vec::new());
+        // Bounded by the test's own end, and in any case.
+        while !stop.load(Ordering::SeqCst) && asked < 20_000 {
+            let answer = client.ask(&saldo(&format!("{asked:x}"), "3"));
+            if answer.status() != 200 && wrong.len() < 10 {
+                wrong.push(format!("request {asked}: {} {}", answer.status(), answer.text()));
+            }
+            asked += 1;
+            thread::sleep(Duration::from_millis(1));
+        }
+        (asked, wrong)
+    })
+}
+
+#[test]
+fn servers_come_and_go_and_the_service_dies_while_requests_flow() {
+    let folder = folder();
+    let stubs: Vec<Stub> = (0..4).map(|_| Stub::start(|_| ok("served"))).collect();
+    let list = List::start(&folder, None);
+    list.register(&stubs[0], "");
+    list.register(&stubs[1], "");
+    // Servers that register have just started; these are warm at once, so that no request is held back from them.
+    let settings =
+        config("127.0.0.1:0", list.addr, None).replace(r#""RampTime":14000000000"#, r#""RampTime":1000000"#);
+    let gateway = Running::start(&settings);
+    until("it is ready", || !gateway.client_is_refused());
+    let stop = Arc::new(AtomicBool::new(false));
+    let flowing = flow(gateway.addr, stop.clone());
+    let asked = |stub: &Stub| stub.requests();
+
+    // One joins, and is asked.
+    list.register(&stubs[2], "");
+    until("the third is asked", || asked(&stubs[2]) > 0);
+    // One drains: half a second after the gateway was told, nothing new comes, and it was told in no more than another.
+    list.change("/discovery/drain", &stubs[0]);
+    thread::sleep(Duration::from_millis(1000));
+    let before = asked(&stubs[0]);
+    until("others are asked", || asked(&stubs[1]) > 0);
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(asked(&stubs[0]), before, "what drains gets nothing new");
+
+    // The service is killed: the old list stands.
+    let (place, addr) = list.kill();
+    let served = asked(&stubs[1]) + asked(&stubs[2]);
+    until("requests go on", || asked(&stubs[1]) + asked(&stubs[2]) > served + 100);
+    assert_eq!(asked(&stubs[0]), before);
+    // It comes back with what it knew, and goes on.
+    let list = List::start(&place, Some(addr));
+    list.register(&stubs[3], r#","lease_ms":1000"#);
+    until("the fourth is asked", || asked(&stubs[3]) > 0);
+    assert_eq!(asked(&stubs[0]), before, "it drains still");
+    // Its lease ends unrenewed, and it is gone.
+    let ended = Instant::now();
+    until("its lease has ended", || {
+        list.call("/discovery/show", &format!(r#"{{"id":"s-{}"}}"#, stubs[3].addr.port())).status() == 404
+    });
+    assert!(ended.elapsed() < LONG);
+    thread::sleep(Duration::from_millis(1000));
+    let before = asked(&stubs[3]);
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(asked(&stubs[3]), before);
+
+    list.change("/discovery/deregister", &stubs[1]);
+    stop.store(true, Ordering::SeqCst);
+    let (asked, wrong) = flowing.join().expect("no panic");
+    assert!(asked > 500 && wrong.is_empty(), "{asked} asked: {wrong:?}");
+    drop(std::fs::remove_dir_all(folder));
+}
