Follow the list service at several addresses, never back, and hold servers that vanish at once

A gateway knew one address, took an older list from a service that is behind, and took most servers off when one list lacked them.

Change: discovery/src/client.rs, a core without I/O: a list older than what is held is refused, changes of another store (lists now say whose they are) ask for its whole list, servers that a whole list lacks all at once (more than half by default) are held for 10 s, but none that drains or is said to be gone. gateway/src/discovery.rs asks the next address after a failure and goes on from its version. All of it only where the configuration has list_service; without it calls, pauses and lists are as before. Age of the list and suspects are in GET /metrics.

--- a/budget/src/ledger.rs
+++ b/budget/src/ledger.rs
@@ -6,6 +6,7 @@
     Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry,
     TextEncoder,
 };
+use std::cell::OnceCell;
 
 /// How a budget ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,6 +52,8 @@
     registry: Registry,
     classes: Vec<Class>,
     retry_budget: Gauge,
+    /// Age of the list and servers missing from it; made when they are first told.
+    list: OnceCell<[Gauge; 2]>,
 }
 
 fn histograms(
@@ -121,7 +124,7 @@
             withheld: withheld.with_label_values(&[name]),
         };
         let classes = classes.iter().map(class).collect();
-        Ok(Ledger { registry, classes, retry_budget })
+        Ok(Ledger { registry, classes, retry_budget, list: OnceCell::new() })
     }
 
     /// A request of this class was written to a server, for the first time or once more.
@@ -154,6 +157,27 @@
         }
     }
 
+    /// What is known of the list of servers, where somebody follows it who can tell.
+    pub fn list(&self, age: Option<f64>, suspects: usize) -> prometheus::Result<()> {
+        if self.list.get().is_none() {
+            let age = Gauge::new(
+                "mapledeck_list_age_seconds",
+                "Time since a list service last said how things are.",
+            )?;
+            let help = "Servers held though the last whole list lacked them.";
+            let suspects = Gauge::new("mapledeck_list_suspects", help)?;
+            for gauge in [&age, &suspects] {
+                self.registry.register(Box::new(gauge.clone()))?;
+            }
+            drop(self.list.set([age, suspects]));
+        }
+        if let Some([shown, missing]) = self.list.get() {
+            shown.set(age.unwrap_or(f64::INFINITY));
+            missing.set(suspects as f64);
+        }
+        Ok(())
+    }
+
     /// All of it in the text format of Prometheus, and that format's content type; and what is in the retry budget now.
     pub fn exposition(&self, retry_budget: f64) -> prometheus::Result<(Vec<u8>, String)> {
         self.retry_budget.set(retry_budget);
--- /dev/null
+++ b/discovery/src/client.rs
@@ -0,0 +1,146 @@
+//! What a gateway holds of the list, whatever it is told by whom: several services of one store, some of them behind, some
+//! of another store, some wrong.
+//!
+//! Sans-I/O: lists and time in, what is to be passed on out.
+
+use crate::format::{Entry, Host, HostList, State};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// A caller's clock that is never set, from any origin.
+pub type Now = Duration;
+
+/// How a list that has lost most servers is met.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Caution {
+    /// A whole list without more than this share of the servers that were held ...
+    pub share: f64,
+    /// ... takes them off only after this long, if nothing else is told of them until then.
+    pub hold: Duration,
+}
+
+/// What becomes of a list.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Taken {
+    /// To be passed on.
+    List(HostList),
+    /// From a service that is behind what is held, which stands. Another service is to be asked.
+    Behind,
+    /// Changes of another store, which mean nothing without the rest: its whole list is to be asked for.
+    Foreign,
+}
+
+/// What is held, and how old it is.
+pub struct Follower {
+    caution: Caution,
+    store: Option<u64>,
+    version: Option<u64>,
+    held: BTreeMap<String, Host>,
+    /// Servers that a list lacked all at once, and when they are given up.
+    missing: BTreeMap<String, Now>,
+    /// When a service last said how things are.
+    heard: Option<Now>,
+}
+
+impl Follower {
+    pub fn new(caution: Caution) -> Follower {
+        Follower {
+            caution,
+            store: None,
+            version: None,
+            held: BTreeMap::new(),
+            missing: BTreeMap::new(),
+            heard: None,
+        }
+    }
+
+    /// The version from which a watch goes on; none where the whole list is to be asked for.
+    pub fn version(&self) -> Option<u64> {
+        self.version
+    }
+
+    /// Another address is asked from now on. Where lists do not say whose versions theirs are, its may begin anywhere.
+    pub fn moved(&mut self) {
+        if self.store.is_none() {
+            self.version = None;
+        }
+    }
+
+    /// How old what is held is; none while nothing is.
+    pub fn age(&self, now: Now) -> Option<Duration> {
+        self.heard.map(|heard| now.saturating_sub(heard))
+    }
+
+    /// Servers that are held though the last whole list lacked them.
+    pub fn suspects(&self) -> usize {
+        self.missing.len()
+    }
+
+    /// Takes a list in.
+    pub fn take(&mut self, list: HostList, now: Now) -> Taken {
+        let same = self.store.is_none() || list.store == self.store;
+        match self.version {
+            Some(held) if same && list.version < held => return Taken::Behind,
+            _ if !same && !list.full => return Taken::Foreign,
+            _ => {}
+        }
+        self.store = list.store;
+        self.version = Some(list.version);
+        self.heard = Some(now);
+        let HostList { version, full, store, mut servers } = list;
+        for entry in &servers {
+            match entry {
+                // Also one that drains: what is said of it is no longer missing, and binds.
+                Entry::Readable(host) if host.state == State::Deleted => self.forget(&host.id),
+                Entry::Readable(host) => {
+                    self.missing.remove(&host.id);
+                    self.held.insert(host.id.clone(), host.clone());
+                }
+                Entry::Spoilt(Some(id)) => self.forget(id),
+                Entry::Spoilt(None) => {}
+            }
+        }
+        if full {
+            let told = |id: &str| {
+                servers.iter().any(|entry| matches!(entry, Entry::Readable(host) if host.id == id))
+            };
+            let lacks: Vec<String> = self.held.keys().filter(|id| !told(id)).cloned().collect();
+            let sudden = lacks.len() as f64 > self.caution.share * self.held.len() as f64;
+            for id in lacks {
+                // One that drained has been told so, and is not missed.
+                let draining = self.held.get(&id).is_none_or(|host| host.state != State::Serving);
+                if draining || !(sudden || self.missing.contains_key(&id)) {
+                    self.forget(&id);
+                    continue;
+                }
+                self.missing.entry(id.clone()).or_insert(now + self.caution.hold);
+                servers.extend(self.held.get(&id).cloned().map(Entry::Readable));
+            }
+        }
+        Taken::List(HostList { version, full, store, servers })
+    }
+
+    fn forget(&mut self, id: &str) {
+        self.held.remove(id);
+        self.missing.remove(id);
+    }
+
+    /// When the next missing server is given up.
+    pub fn next_end(&self) -> Option<Now> {
+        self.missing.values().min().copied()
+    }
+
+    /// Gives up those that have been missing for too long: what is to be passed on, if there are any.
+    pub fn give_up(&mut self, now: Now) -> Option<HostList> {
+        let over: Vec<String> =
+            self.missing.iter().filter(|(_, until)| **until <= now).map(|(id, _)| id.clone()).collect();
+        let gone = |id: &String| {
+            let host = self.held.get(id)?;
+            Some(Entry::Readable(Host { state: State::Deleted, ..host.clone() }))
+        };
+        let servers: Vec<Entry> = over.iter().filter_map(gone).collect();
+        over.iter().for_each(|id| self.forget(id));
+        let version = self.version.filter(|_| !servers.is_empty())?;
+        Some(HostList { version, full: false, store: self.store, servers })
+    }
+}
--- a/discovery/src/format.rs
+++ b/discovery/src/format.rs
@@ -20,6 +20,9 @@
 pub struct HostList {
     pub version: u64,
     pub full: bool,
+    /// Which store's versions these are, where the service says.
+    #[serde(default)]
+    pub store: Option<u64>,
     #[serde(deserialize_with = "readable")]
     pub servers: Vec<Entry>,
 }
@@ -80,6 +83,7 @@
 pub struct Telling<'a> {
     pub version: u64,
     pub full: bool,
+    pub store: u64,
     pub servers: Vec<&'a Host>,
 }
 
--- a/discovery/src/store.rs
+++ b/discovery/src/store.rs
@@ -132,6 +132,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Image {
     version: u64,
+    origin: u64,
     floor: u64,
     entries: Vec<(Host, u64, Option<u64>)>,
     gone: Vec<Host>,
@@ -150,6 +151,8 @@
 #[derive(Default)]
 pub struct Store {
     version: u64,
+    /// Its first version, by which it is told from others.
+    origin: u64,
     entries: BTreeMap<String, Kept>,
     /// Entries that are gone and whose going is in the history.
     gone: BTreeMap<String, Host>,
@@ -172,8 +175,8 @@
     /// Goes on from an image and what was recorded after it. All leases begin anew: while the store was away nobody could
     /// renew them.
     pub fn restore(image: Image, records: impl IntoIterator<Item = Record>, now: Now) -> Store {
-        let Image { version, floor, entries, gone, history } = image;
-        let mut store = Store { version, floor, history: history.into(), ..Store::default() };
+        let Image { version, origin, floor, entries, gone, history } = image;
+        let mut store = Store { version, origin, floor, history: history.into(), ..Store::default() };
         for (host, revision, lease) in entries {
             store.keep(host, revision, lease, now);
         }
@@ -191,6 +194,7 @@
         let kept = |kept: &Kept| (kept.host.clone(), kept.revision, kept.lease.map(millis));
         Image {
             version: self.version,
+            origin: self.origin,
             floor: self.floor,
             entries: self.entries.values().map(kept).collect(),
             gone: self.gone.values().cloned().collect(),
@@ -308,8 +312,8 @@
         let id = match record {
             Record::Opened { .. } => {
                 // A store that has told nothing yet has no history before this.
-                if self.floor == 0 {
-                    self.floor = version;
+                if self.origin == 0 {
+                    (self.origin, self.floor) = (version, version);
                 }
                 return;
             }
@@ -378,12 +382,12 @@
             Some(Newer::Whole(servers)) => (true, servers),
             Some(Newer::Changes(servers)) => (false, servers),
         };
-        Some(encoded(&Telling { version: self.version, full, servers }))
+        Some(encoded(&Telling { version: self.version, full, store: self.origin, servers }))
     }
 
     /// The answer to a watch in whose time nothing has come.
     pub fn nothing(&self) -> Vec<u8> {
-        encoded(&Telling { version: self.version, full: false, servers: Vec::new() })
+        encoded(&Telling { version: self.version, full: false, store: self.origin, servers: Vec::new() })
     }
 
     pub fn show(&self, id: &str, now: Now) -> Option<Shown<'_>> {
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -2,9 +2,11 @@
 
 use crate::console::CALLERS;
 use cherrypulley_drill::Site;
+use mapledeck_discovery::client::Caution;
 use mapledeck_discovery::format::HostList;
 use serde::Deserialize;
 use std::net::SocketAddr;
+use std::time::Duration;
 use std::{env, fs};
 
 /// The configuration; fields that the gateway has no use for are passed over.
@@ -17,11 +19,43 @@
     #[serde(deserialize_with = "hex")]
     pub seed: u64,
     pub limits: Limits,
+    /// Where discovery is the project's own service: its other processes, and how a sudden loss of servers is met.
+    pub list_service: Option<ListService>,
     /// The list of servers as this gateway last had it.
     pub known: Option<HostList>,
     pub settings: Site,
 }
 
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListService {
+    /// Asked in turn when the one that `discovery` names fails.
+    #[serde(default)]
+    others: Vec<SocketAddr>,
+    #[serde(default = "share")]
+    missing_share: f64,
+    #[serde(default = "hold")]
+    missing_hold_ms: u64,
+}
+
+fn share() -> f64 {
+    0.5
+}
+
+fn hold() -> u64 {
+    10_000
+}
+
+/// Further addresses of the list service, and the longest that missing servers are held.
+const OTHERS_MOST: usize = 8;
+const HOLD_MOST_MS: u64 = 60_000;
+
+impl ListService {
+    pub fn caution(&self) -> Caution {
+        Caution { share: self.missing_share, hold: Duration::from_millis(self.missing_hold_ms) }
+    }
+}
+
 #[derive(Debug, Deserialize)]
 pub struct Limits {
     /// File descriptors that the process may hold.
@@ -55,8 +89,22 @@
         if config.limits.sockets < 2 * RESERVED {
             return Err(format!("limits.sockets: {} is under {}", config.limits.sockets, 2 * RESERVED));
         }
+        if let Some(ListService { others, missing_share, missing_hold_ms }) = &config.list_service {
+            let usable = others.len() <= OTHERS_MOST && (0.0..=1.0).contains(missing_share);
+            if !usable || *missing_hold_ms > HOLD_MOST_MS {
+                return Err(format!(
+                    "list_service: {OTHERS_MOST} others, a share of 1 and {HOLD_MOST_MS} ms at the most"
+                ));
+            }
+        }
         Ok(config)
     }
+
+    /// Where the list is asked for, in turn.
+    pub fn agents(&self) -> Vec<SocketAddr> {
+        let others = self.list_service.iter().flat_map(|service| &service.others);
+        std::iter::once(&self.discovery).chain(others).copied().collect()
+    }
 }
 
 /// Connections there are in any case.
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -5,9 +5,10 @@
 use crate::upstream::{collect, Link};
 use cherrypulley::{Discovery as Method, Event, Lifecycle, Random, Scope, ServerId, ServerInfo, Time};
 use hyper::{Request, StatusCode};
+use mapledeck_discovery::client::{Caution, Follower, Taken};
 use mapledeck_discovery::format::{Ask, Entry, Host, HostList, State};
 use serde::{Deserialize, Serialize};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -142,11 +143,50 @@
     round.mul_f64(random.uniform())
 }
 
+/// How the project's own list service is followed.
+pub struct Service {
+    follower: Follower,
+    begun: Instant,
+    figures: Rc<Figures>,
+}
+
+/// What operators see of it.
+#[derive(Default)]
+pub struct Figures {
+    heard: Cell<Option<Instant>>,
+    suspects: Cell<usize>,
+}
+
+impl Figures {
+    /// Seconds since a service last said how things are, and servers held though the last whole list lacked them.
+    pub fn now(&self) -> (Option<f64>, usize) {
+        (self.heard.get().map(|heard| heard.elapsed().as_secs_f64()), self.suspects.get())
+    }
+}
+
+impl Service {
+    pub fn new(caution: Caution) -> Service {
+        Service { follower: Follower::new(caution), begun: Instant::now(), figures: Rc::default() }
+    }
+
+    pub fn figures(&self) -> Rc<Figures> {
+        self.figures.clone()
+    }
+
+    fn show(&self) {
+        let age = self.follower.age(self.begun.elapsed());
+        self.figures.heard.set(age.and_then(|age| Instant::now().checked_sub(age)));
+        self.figures.suspects.set(self.follower.suspects());
+    }
+}
+
 /// Follows the list and tells the engine.
 pub struct Discovery {
     engine: Rc<Engine>,
-    /// The agent's address, which a new configuration may change.
-    agents: watch::Receiver<SocketAddr>,
+    /// Where the list is asked for, which a new configuration may change: the agent, and others that tell the same.
+    agents: watch::Receiver<Vec<SocketAddr>>,
+    /// Where the list is that of the project's own service: what is held of it, whatever one of several says.
+    service: Option<Service>,
     zones: Names,
     kinds: Names,
     ids: Rc<RefCell<Ids>>,
@@ -162,7 +202,8 @@
 impl Discovery {
     pub fn new(
         engine: Rc<Engine>,
-        agents: watch::Receiver<SocketAddr>,
+        agents: watch::Receiver<Vec<SocketAddr>>,
+        service: Option<Service>,
         zones: Vec<String>,
         kinds: Vec<String>,
         (method, gateways): (Method, u32),
@@ -171,6 +212,7 @@
         Discovery {
             engine,
             agents,
+            service,
             zones: Names(zones),
             kinds: Names(kinds),
             ids: Rc::default(),
@@ -195,7 +237,7 @@
         if servers.is_empty() {
             return false;
         }
-        self.told(HostList { version: 0, full: true, servers });
+        self.told(HostList { version: 0, full: true, store: None, servers });
         self.version = None;
         true
     }
@@ -260,21 +302,57 @@
     pub async fn follow(mut self, held: impl Fn()) {
         let mut agents = self.agents.clone();
         loop {
-            let agent = *agents.borrow_and_update();
+            let addresses = agents.borrow_and_update().clone();
             tokio::select! {
                 // The watch in flight and its connection go with the old agent.
                 changed = agents.changed() => if changed.is_err() { return },
-                () = self.watch(agent, &held) => {}
+                () = self.watch(&addresses, &held) => {}
             }
             // What a new agent counts as told is not known, and its versions need not follow on the old one's:
             // the whole list is asked for. Until it comes the old one stands.
             self.version = None;
+            self.service.iter_mut().for_each(|service| service.follower.moved());
         }
     }
 
-    /// Watches the list at one agent until dropped.
-    async fn watch(&mut self, agent: SocketAddr, held: impl Fn()) {
+    /// What a gateway is to follow of a list that was told; why there is nothing.
+    fn followed(&mut self, list: HostList) -> Result<HostList, &'static str> {
+        let Some(service) = &mut self.service else { return Ok(list) };
+        let taken = service.follower.take(list, service.begun.elapsed());
+        service.show();
+        match taken {
+            Taken::List(list) => Ok(list),
+            Taken::Behind => Err("a list older than what is held"),
+            Taken::Foreign => {
+                self.version = None;
+                Err("changes of another store")
+            }
+        }
+    }
+
+    /// Takes off servers that have been missing for too long.
+    fn give_up(&mut self) {
+        let over = self.service.as_mut().and_then(|service| {
+            let over = service.follower.give_up(service.begun.elapsed());
+            service.show();
+            over
+        });
+        over.into_iter().for_each(|list| self.told(list));
+    }
+
+    /// How long a watch waits.
+    fn wait(&self) -> Duration {
+        let end = self
+            .service
+            .as_ref()
+            .and_then(|s| Some(s.follower.next_end()?.saturating_sub(s.begun.elapsed())));
+        end.map_or(WAIT, |end| end.min(WAIT))
+    }
+
+    /// Watches the list at one of these addresses, at the next one after a failure, until dropped.
+    async fn watch(&mut self, addresses: &[SocketAddr], held: impl Fn()) {
         let mut link = None;
+        let mut at = 0;
         let mut pause = BACKOFF.0;
         let (mut quiet, mut whole, mut busy) = (false, false, false);
         if self.version.is_some() {
@@ -282,18 +360,26 @@
             sleep(turn(self.round, &mut self.random)).await;
         }
         loop {
-            let since = self.version.filter(|_| !whole);
-            let wait = since.map_or(Duration::ZERO, |_| WAIT);
+            self.give_up();
+            let Some(&agent) = addresses.get(at) else { return };
+            // What is held of the service's own list is good with any of its processes.
+            let since = self.version.filter(|_| !whole || self.service.is_some());
+            let wait = since.map_or(Duration::ZERO, |_| self.wait());
             let patience = wait + if busy { BUSY_PATIENCE } else { PATIENCE };
             busy = false;
-            let cause = match timeout(patience, self.call(agent, since, &mut link)).await {
-                Ok(Ok(list)) => {
-                    self.told(list);
-                    held();
-                    (pause, quiet, whole) = (BACKOFF.0, false, false);
-                    // At once: a watch goes on only if the next call comes within 200 ms.
-                    continue;
-                }
+            let cause = match timeout(patience, self.call(agent, since.map(|since| (since, wait)), &mut link))
+                .await
+            {
+                Ok(Ok(list)) => match self.followed(list) {
+                    Ok(list) => {
+                        self.told(list);
+                        held();
+                        (pause, quiet, whole) = (BACKOFF.0, false, false);
+                        // At once: a watch goes on only if the next call comes within 200 ms.
+                        continue;
+                    }
+                    Err(cause) => cause.to_owned(),
+                },
                 Ok(Err(Failed::Busy)) => {
                     busy = true;
                     "busy".to_owned()
@@ -311,6 +397,9 @@
             if !std::mem::replace(&mut quiet, true) {
                 log(format_args!("discovery: {cause}"));
             }
+            if addresses.len() > 1 {
+                (at, link) = ((at + 1) % addresses.len(), None);
+            }
             let apart = if busy { pause.max(self.round) } else { pause };
             sleep(apart.mul_f64(0.5 + self.random.uniform())).await;
             pause = (pause * 2).min(BACKOFF.1);
@@ -321,10 +410,10 @@
     async fn call(
         &self,
         agent: SocketAddr,
-        since: Option<u64>,
+        since: Option<(u64, Duration)>,
         link: &mut Option<Link>,
     ) -> Result<HostList, Failed> {
-        let ask = since.map_or(Ask::Whole, |since| Ask::Watch { since, wait: WAIT });
+        let ask = since.map_or(Ask::Whole, |(since, wait)| Ask::Watch { since, wait });
         // The agent may have closed the connection since, or said that it would: no reason to wait with the call.
         if let Some(kept) = link {
             if !kept.ready().await || !kept.clean() {
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -23,7 +23,7 @@
 use clock::Clock;
 use config::Config;
 use console::Console;
-use discovery::Discovery;
+use discovery::{Discovery, Service};
 use engine::Engine;
 use front::Front;
 use handover::Handover;
@@ -72,12 +72,12 @@
 }
 
 /// Reads the file again at each SIGHUP, for good. Only discovery moves with it; requests and connections go on.
-async fn reload(mut hangup: Signal, agent: watch::Sender<SocketAddr>) {
+async fn reload(mut hangup: Signal, agents: watch::Sender<Vec<SocketAddr>>) {
     while hangup.recv().await.is_some() {
         match Config::from_file() {
             Ok(config) => {
                 log(format_args!("new configuration, discovery at {}", config.discovery));
-                agent.send_replace(config.discovery);
+                agents.send_replace(config.agents());
             }
             Err(e) => log(format_args!("the old configuration stands: {e}")),
         }
@@ -120,15 +120,19 @@
     let engine = Engine::new(gateway.clone(), clock, accounts, upstream, site.settings.max_attempts);
     let front = Front::new(engine.clone(), site.clone(), clients);
 
-    let (agent, agents) = watch::channel(config.discovery);
-    spawn_local(reload(hangup, agent));
+    let (told, agents) = watch::channel(config.agents());
+    spawn_local(reload(hangup, told));
+    let service = config.list_service.as_ref().map(|service| Service::new(service.caution()));
+    let list = service.as_ref().map(Service::figures);
     let fleet = (site.settings.discovery, site.settings.gateways);
-    let mut discovery = Discovery::new(engine.clone(), agents, site.zones, site.kinds, fleet, config.seed);
+    let mut discovery =
+        Discovery::new(engine.clone(), agents, service, site.zones, site.kinds, fleet, config.seed);
     let operations = Operations {
         engine: engine.clone(),
         gateway: gateway.clone(),
         front: front.clone(),
         ids: discovery.ids(),
+        list,
     };
     let operations = Rc::new(operations);
     let known = config.known.take();
--- a/gateway/src/operations.rs
+++ b/gateway/src/operations.rs
@@ -1,6 +1,6 @@
 //! What operators can ask of a running gateway, and who is told of it.
 
-use crate::discovery::Ids;
+use crate::discovery::{Figures, Ids};
 use crate::engine::Engine;
 use crate::front::Front;
 use crate::log::log;
@@ -53,6 +53,8 @@
     pub gateway: Rc<RefCell<Gateway>>,
     pub front: Rc<Front>,
     pub ids: Rc<RefCell<Ids>>,
+    /// Of the project's own list service, where that is followed.
+    pub list: Option<Rc<Figures>>,
 }
 
 impl Operations {
@@ -61,7 +63,12 @@
             Call::Ready => self.front.takes_clients().then_some(Said::Yes).ok_or(Refusal::NotReady),
             Call::Metrics => {
                 let left = self.gateway.borrow().retry_budget();
-                let text = self.engine.accounts.ledger.as_ref().map(|ledger| ledger.exposition(left));
+                let ledger = self.engine.accounts.ledger.as_ref();
+                if let Some((ledger, list)) = ledger.zip(self.list.as_ref()) {
+                    let (age, suspects) = list.now();
+                    ledger.list(age, suspects).map_err(|_| Refusal::NoAccount)?;
+                }
+                let text = ledger.map(|ledger| ledger.exposition(left));
                 let (text, format) = text.and_then(Result::ok).ok_or(Refusal::NoAccount)?;
                 Ok(Said::Text(text, format))
             }
--- a/gateway/tests/list.rs
+++ b/gateway/tests/list.rs
@@ -156,3 +156,95 @@
     assert!(asked > 500 && wrong.is_empty(), "{asked} asked: {wrong:?}");
     drop(std::fs::remove_dir_all(folder));
 }
+
+/// A configuration that says that discovery is the project's own service.
+fn with_service(config: String, fields: &str) -> String {
+    config.replace(r#""settings":"#, &format!(r#""list_service":{{{fields}}},"settings":"#))
+}
+
+#[test]
+fn another_address_is_asked_when_one_fails_and_the_watch_goes_on_there() {
+    let folder = folder();
+    let stubs = [Stub::start(|_| ok("a")), Stub::start(|_| ok("b"))];
+    let list = List::start(&folder, None);
+    list.register(&stubs[0], "");
+    // The first address refuses connections.
+    let nobody = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    let settings =
+        config("127.0.0.1:0", nobody, None).replace(r#""RampTime":14000000000"#, r#""RampTime":1000000"#);
+    let settings = with_service(settings, &format!(r#""others":["{}"]"#, list.addr));
+    let gateway = Running::start_with("exec \"$0\"", &settings, &[("RELAY_CONSOLE", "127.0.0.1:0")]);
+    until("it is ready", || !gateway.client_is_refused());
+    assert_eq!(gateway.client().ask(&saldo("f1", "3")).text(), "a");
+    assert!(gateway.metric("mapledeck_list_age_seconds") < LONG.as_secs_f64());
+    // Its watch goes on: what changes is told without another whole list.
+    list.change("/discovery/deregister", &stubs[0]);
+    list.register(&stubs[1], "");
+    let mut client = gateway.client();
+    until("the change is followed", || client.ask(&saldo("f2", "3")).text() == "b");
+    // Away for a while, and back with what it held.
+    let (place, addr) = list.kill();
+    let asked = stubs[1].requests();
+    until("the old list stands", || {
+        client.ask(&saldo("f3", "3"));
+        stubs[1].requests() > asked + 20
+    });
+    let _list = List::start(&place, Some(addr));
+    until("it is heard of again", || gateway.metric("mapledeck_list_age_seconds") < 1.0);
+    assert_eq!(client.ask(&saldo("f4", "3")).text(), "b");
+    drop(std::fs::remove_dir_all(folder));
+}
+
+#[test]
+fn a_list_that_loses_most_servers_at_once_is_met_with_caution_where_the_configuration_says_so() {
+    let stubs = [Stub::start(|_| ok("a")), Stub::start(|_| ok("b")), Stub::start(|_| ok("c"))];
+    let agent = Agent::start();
+    let settings = with_service(config("127.0.0.1:0", agent.stub.addr, None), r#""missing_hold_ms":1500"#);
+    let gateway = Running::start_with("exec \"$0\"", &settings, &[("RELAY_CONSOLE", "127.0.0.1:0")]);
+    agent.tell(ok(&list(
+        1,
+        true,
+        &[(&stubs[0], "SERVING"), (&stubs[1], "SERVING"), (&stubs[2], "DRAINING")],
+    )));
+    agent.watched(1);
+    agent.tell(ok(&list(2, true, &[])));
+    agent.watched(2);
+    let mut client = gateway.client();
+    assert_eq!(client.ask(&saldo("m1", "3")).status(), 200, "they are suspects, and serve");
+    assert_eq!(stubs[2].requests(), 0, "one that drained is no suspect");
+    assert_eq!(gateway.metric("mapledeck_list_suspects"), 2.0);
+    // Said to be gone, one is at once.
+    agent.tell(ok(&list(3, false, &[(&stubs[0], "DELETED")])));
+    agent.watched(3);
+    for n in 0..5 {
+        assert_eq!(client.ask(&saldo(&format!("m2{n}"), "3")).text(), "b");
+    }
+    // Nothing more is told of the other, and its time ends.
+    agent.tell(ok(&list(3, false, &[])));
+    until("it is given up", || {
+        agent.tell(ok(&list(3, false, &[])));
+        gateway.metric("mapledeck_list_suspects") == 0.0
+    });
+    assert_eq!(client.ask(&saldo("m3", "3")).status(), 503, "no server is left");
+}
+
+#[test]
+fn a_list_service_that_cannot_be_used_ends_the_start() {
+    let agent = "127.0.0.1:1".parse().unwrap();
+    for fields in
+        [r#""others":["x"]"#, r#""missing_share":2"#, r#""missing_hold_ms":99999999"#, r#""more":1"#]
+    {
+        let folder = folder();
+        let file = folder.join("config.json");
+        std::fs::write(&file, with_service(config("127.0.0.1:0", agent, None), fields)).expect("written");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_mapledeck"));
+        for name in ["RELAY_LISTEN", "RELAY_DISCOVERY", "RELAY_CONSOLE"] {
+            command.env_remove(name);
+        }
+        let output = command.env("RELAY_CONFIG", &file).output().expect("it runs");
+        let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!((output.status.code(), errors.lines().count()), (Some(2), 1), "{fields}: {errors}");
+        assert!(errors.contains("list_service"), "{errors}");
+        drop(std::fs::remove_dir_all(folder));
+    }
+}
