--- /dev/null
+++ b/discovery/benches/watches.rs
@@ -0,0 +1,173 @@
+//! What a change costs with 300 watchers and 200 entries, and how long a start takes behind a long log:
+//! `cargo bench -p mapledeck-discovery --bench watches`. On one machine, watchers and service together; bounded.
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use common::*;
+use mapledeck_discovery::format::{Host, State};
+use mapledeck_discovery::journal::{Folder, Journal};
+use mapledeck_discovery::store::{Record, Store};
+use std::fs;
+use std::io::Write;
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const WATCHERS: usize = 300;
+const ENTRIES: u16 = 200;
+const CHANGES: usize = 40;
+const PLAYS: usize = 5;
+const RECORDS: u64 = 100_000;
+
+/// Nanoseconds that a process's one thread was on a core.
+fn on_core(pid: u32) -> u64 {
+    let text = fs::read_to_string(format!("/proc/{pid}/schedstat")).expect("Linux");
+    text.split(' ').next().and_then(|word| word.parse().ok()).expect("a number")
+}
+
+fn resident_kb(pid: u32) -> u64 {
+    let text = fs::read_to_string(format!("/proc/{pid}/status")).expect("Linux");
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("a size");
+    line.trim().trim_end_matches(" kB").parse().expect("a number")
+}
+
+fn status(client: &mut Client, field: &str) -> u64 {
+    client.get("/discovery/status").json()[field].as_u64().expect("a number")
+}
+
+/// Median and 99th percentile.
+fn middle(mut all: Vec<f64>) -> (f64, f64) {
+    all.sort_by(f64::total_cmp);
+    (all[all.len() / 2], all[(all.len() * 99 / 100).min(all.len() - 1)])
+}
+
+fn spread(name: &str, unit: &str, all: &[f64]) {
+    let (least, most) = all.iter().fold((f64::MAX, f64::MIN), |(l, m), &x| (l.min(x), m.max(x)));
+    println!("{name}: {:.2} {unit} ({least:.2} to {most:.2})", middle(all.to_vec()).0);
+}
+
+/// One watcher: waits, says when it has the change, and waits again.
+fn watcher(addr: std::net::SocketAddr, mut held: u64, told: mpsc::Sender<(u64, Instant)>) {
+    let mut client = Client::connect(addr);
+    loop {
+        let call = format!("GET /discovery/hosts?since={held}&timeout_ms=60000 HTTP/1.1\r\n\r\n");
+        if client.0.get_mut().write_all(call.as_bytes()).is_err() {
+            return;
+        }
+        let Some(answer) = client.answer() else { return };
+        let now = Instant::now();
+        held = answer.json()["version"].as_u64().expect("a version");
+        if told.send((held, now)).is_err() {
+            return;
+        }
+    }
+}
+
+fn play() -> [f64; 6] {
+    let folder = folder();
+    let service = Running::start(&folder, &config("127.0.0.1:0", &folder, ""));
+    let pid = service.child.id();
+    let mut operator = service.client();
+    for n in 0..ENTRIES {
+        assert_eq!(
+            operator
+                .register(&format!("s-{n:08x}"), 1000 + n, r#","zone":"hall-a","kind":"std-2core""#)
+                .status,
+            200
+        );
+    }
+    let held = operator.get("/discovery/hosts").json()["version"].as_u64().expect("a version");
+    let alone = resident_kb(pid);
+    let (told, news) = mpsc::channel();
+    for _ in 0..WATCHERS {
+        let (addr, told) = (service.addr, told.clone());
+        thread::Builder::new()
+            .stack_size(256 << 10)
+            .spawn(move || watcher(addr, held, told))
+            .expect("a thread");
+    }
+    until("all wait", || status(&mut operator, "watches") == WATCHERS as u64);
+    let memory = (resident_kb(pid) - alone) as f64 / WATCHERS as f64;
+    let (core, bytes, encodings) =
+        (on_core(pid), status(&mut operator, "bytes_written"), status(&mut operator, "encodings"));
+    let (mut each, mut all) = (Vec::new(), Vec::new());
+    for n in 0..CHANGES {
+        let (path, id) =
+            (if n % 2 == 0 { "drain" } else { "undrain" }, format!(r#"{{"id":"s-{:08x}"}}"#, n / 2));
+        let asked = Instant::now();
+        let answer = operator.post(&format!("/discovery/{path}"), &id);
+        let revision = answer.json()["revision"].as_u64().expect("a revision");
+        let mut last = Duration::ZERO;
+        for _ in 0..WATCHERS {
+            let (version, at) = news.recv_timeout(LONG).expect("each is told");
+            assert!(version >= revision);
+            each.push((at - asked).as_secs_f64() * 1e3);
+            last = last.max(at - asked);
+        }
+        all.push(last.as_secs_f64() * 1e3);
+        until("all wait again", || status(&mut operator, "watches") == WATCHERS as u64);
+    }
+    let delivered = (CHANGES * WATCHERS) as f64;
+    let core = (on_core(pid) - core) as f64 / delivered / 1e3;
+    let bytes = (status(&mut operator, "bytes_written") - bytes) as f64 / delivered;
+    let encodings = (status(&mut operator, "encodings") - encodings) as f64 / CHANGES as f64;
+    println!(
+        "  a change: {:.1} encodings; held after {:.1} ms in the median, {:.1} at the 99th percentile; by all after {:.1}, {:.1}",
+        encodings, middle(each.clone()).0, middle(each.clone()).1, middle(all.clone()).0, middle(all.clone()).1
+    );
+    drop(fs::remove_dir_all(folder));
+    [core, bytes, memory, middle(each.clone()).0, middle(each).1, middle(all).1]
+}
+
+/// The time in which a log of so many records is read, and the store is as it was.
+fn recovery() -> f64 {
+    let path = folder().join("data");
+    let take = || Folder::take(&path).expect("a folder").expect("nobody's");
+    let (mut journal, _) = Journal::open(take()).expect("new");
+    let host = |n: u64| Host {
+        id: format!("s-{:08x}", n % 200),
+        addr: ([127, 0, 0, 1], (n % 60_000) as u16).into(),
+        zone: "hall-a".into(),
+        kind: "std-2core".into(),
+        cell: 3,
+        state: State::Serving,
+        weight: 1.0,
+        started_ms: n,
+    };
+    let record = |n: u64| Record::Put { version: n + 1, host: host(n), lease_ms: Some(10_000) };
+    // Several to a write, as one by one would take as many syncs.
+    for batch in 0..RECORDS / 100 {
+        let records: Vec<Record> = (batch * 100..(batch + 1) * 100).map(record).collect();
+        journal.append(&records).expect("written");
+    }
+    drop(journal);
+    let begun = Instant::now();
+    let (journal, held) = Journal::open(take()).expect("whole");
+    let store = Store::restore(held.image, held.records, Duration::ZERO);
+    let took = begun.elapsed().as_secs_f64() * 1e3;
+    assert_eq!((store.version(), store.len()), (RECORDS, 200));
+    drop(journal);
+    drop(fs::remove_dir_all(path));
+    took
+}
+
+fn main() {
+    let plays: Vec<[f64; 6]> = (0..PLAYS).map(|_| play()).collect();
+    let figures = [
+        ("processor time for a change delivered", "us"),
+        ("bytes for a change delivered", "bytes"),
+        ("memory for a watch that waits", "kB"),
+        ("held, median", "ms"),
+        ("held, 99th percentile", "ms"),
+        ("held by all, 99th percentile of the changes", "ms"),
+    ];
+    println!(
+        "{WATCHERS} watchers, {ENTRIES} entries, {CHANGES} changes, median and spread of {PLAYS} plays:"
+    );
+    for (n, (name, unit)) in figures.into_iter().enumerate() {
+        spread(name, unit, &plays.iter().map(|play| play[n]).collect::<Vec<_>>());
+    }
+    let starts: Vec<f64> = (0..PLAYS).map(|_| recovery()).collect();
+    spread(&format!("start behind {RECORDS} records"), "ms", &starts);
+}
