Give the store epochs: a promotion voids what the writer before did last

An epoch rises with each promotion, lists say it; a promotion forgets the history, so that whoever holds a version of before is told the whole list; records bring a replica up from a version. A gateway with list_service takes a new epoch whole and no older one at all.

--- a/discovery/src/client.rs
+++ b/discovery/src/client.rs
@@ -26,7 +26,8 @@
     List(HostList),
     /// From a service that is behind what is held, which stands. Another service is to be asked.
     Behind,
-    /// Changes of another store, which mean nothing without the rest: its whole list is to be asked for.
+    /// Changes of another store or under another writer, which mean nothing without the rest: the whole list is to be asked
+    /// for.
     Foreign,
 }
 
@@ -34,6 +35,7 @@
 pub struct Follower {
     caution: Caution,
     store: Option<u64>,
+    epoch: u64,
     version: Option<u64>,
     held: BTreeMap<String, Host>,
     /// Servers that a list lacked all at once, and when they are given up.
@@ -47,6 +49,7 @@
         Follower {
             caution,
             store: None,
+            epoch: 0,
             version: None,
             held: BTreeMap::new(),
             missing: BTreeMap::new(),
@@ -80,14 +83,16 @@
     pub fn take(&mut self, list: HostList, now: Now) -> Taken {
         let same = self.store.is_none() || list.store == self.store;
         match self.version {
-            Some(held) if same && list.version < held => return Taken::Behind,
-            _ if !same && !list.full => return Taken::Foreign,
+            // Of a writer that another one has replaced, however far it has come since.
+            Some(held) if same && (list.epoch < self.epoch || list.version < held) => return Taken::Behind,
+            // Also of a new writer: what the one before did last may be void.
+            Some(_) if !(list.full || same && list.epoch == self.epoch) => return Taken::Foreign,
             _ => {}
         }
-        self.store = list.store;
+        (self.store, self.epoch) = (list.store, list.epoch);
         self.version = Some(list.version);
         self.heard = Some(now);
-        let HostList { version, full, store, mut servers } = list;
+        let HostList { version, full, store, epoch, mut servers } = list;
         for entry in &servers {
             match entry {
                 // Also one that drains: what is said of it is no longer missing, and binds.
@@ -117,7 +122,7 @@
                 servers.extend(self.held.get(&id).cloned().map(Entry::Readable));
             }
         }
-        Taken::List(HostList { version, full, store, servers })
+        Taken::List(HostList { version, full, store, epoch, servers })
     }
 
     fn forget(&mut self, id: &str) {
@@ -141,6 +146,6 @@
         let servers: Vec<Entry> = over.iter().filter_map(gone).collect();
         over.iter().for_each(|id| self.forget(id));
         let version = self.version.filter(|_| !servers.is_empty())?;
-        Some(HostList { version, full: false, store: self.store, servers })
+        Some(HostList { version, full: false, store: self.store, epoch: self.epoch, servers })
     }
 }
--- a/discovery/src/format.rs
+++ b/discovery/src/format.rs
@@ -23,6 +23,9 @@
     /// Which store's versions these are, where the service says.
     #[serde(default)]
     pub store: Option<u64>,
+    /// Under which writer: each that operators promote has a higher one.
+    #[serde(default)]
+    pub epoch: u64,
     #[serde(deserialize_with = "readable")]
     pub servers: Vec<Entry>,
 }
@@ -84,6 +87,7 @@
     pub version: u64,
     pub full: bool,
     pub store: u64,
+    pub epoch: u64,
     pub servers: Vec<&'a Host>,
 }
 
--- a/discovery/src/store.rs
+++ b/discovery/src/store.rs
@@ -91,6 +91,22 @@
         version: u64,
         id: String,
     },
+    /// Operators made this store's process the one that writes. What another one has written since the two last met is
+    /// void, so whoever holds an older version is told the whole list.
+    Promoted {
+        version: u64,
+        epoch: u64,
+    },
+}
+
+impl Record {
+    pub fn version(&self) -> u64 {
+        let (Record::Opened { version }
+        | Record::Put { version, .. }
+        | Record::Gone { version, .. }
+        | Record::Promoted { version, .. }) = self;
+        *version
+    }
 }
 
 /// What a command comes to.
@@ -133,6 +149,8 @@
 pub struct Image {
     version: u64,
     origin: u64,
+    epoch: u64,
+    promoted: bool,
     floor: u64,
     entries: Vec<(Host, u64, Option<u64>)>,
     gone: Vec<Host>,
@@ -153,6 +171,9 @@
     version: u64,
     /// Its first version, by which it is told from others.
     origin: u64,
+    /// Rises with each promotion, and whether the last one was of this process.
+    epoch: u64,
+    promoted: bool,
     entries: BTreeMap<String, Kept>,
     /// Entries that are gone and whose going is in the history.
     gone: BTreeMap<String, Host>,
@@ -175,8 +196,9 @@
     /// Goes on from an image and what was recorded after it. All leases begin anew: while the store was away nobody could
     /// renew them.
     pub fn restore(image: Image, records: impl IntoIterator<Item = Record>, now: Now) -> Store {
-        let Image { version, origin, floor, entries, gone, history } = image;
-        let mut store = Store { version, origin, floor, history: history.into(), ..Store::default() };
+        let Image { version, origin, epoch, promoted, floor, entries, gone, history } = image;
+        let mut store =
+            Store { version, origin, epoch, promoted, floor, history: history.into(), ..Store::default() };
         for (host, revision, lease) in entries {
             store.keep(host, revision, lease, now);
         }
@@ -185,6 +207,52 @@
         store
     }
 
+    /// A store that follows another takes its image over, and with it whatever the other has.
+    pub fn follow(image: Image, now: Now) -> Store {
+        Store::restore(Image { promoted: false, ..image }, [], now)
+    }
+
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Whether this process was made the one that writes.
+    pub fn promoted(&self) -> bool {
+        self.promoted
+    }
+
+    /// What makes this process the one that writes; none where there was such an epoch already.
+    pub fn promotion(&self, epoch: u64, unix_ms: u64) -> Option<Record> {
+        let version = unix_ms.saturating_mul(VERSIONS_A_MS).max(self.version + 1);
+        (epoch > self.epoch).then_some(Record::Promoted { version, epoch })
+    }
+
+    /// All leases begin anew: nobody could renew them while there was none that writes.
+    pub fn renew_all(&mut self, now: Now) {
+        self.entries.values_mut().for_each(|kept| kept.ends = kept.lease.map(|lease| now + lease));
+    }
+
+    /// What brings a store of the same epoch from a version up to this one, or nothing where that is not known any more.
+    /// Each server's last change stands for those before it.
+    pub fn records(&self, since: u64) -> Option<Vec<Record>> {
+        if !self.knows(since) {
+            return None;
+        }
+        let from = self.history.partition_point(|(version, _)| *version <= since);
+        let last: BTreeMap<&str, u64> = self.history.range(from..).map(|(v, id)| (id.as_str(), *v)).collect();
+        let mut changes: Vec<(u64, &str)> = last.into_iter().map(|(id, version)| (version, id)).collect();
+        changes.sort_unstable();
+        let record = |(version, id): (u64, &str)| match self.entries.get(id) {
+            Some(kept) => Record::Put { version, host: kept.host.clone(), lease_ms: kept.lease.map(millis) },
+            None => Record::Gone { version, id: id.to_owned() },
+        };
+        let mut records: Vec<Record> = changes.into_iter().map(record).collect();
+        if self.version > since && records.last().is_none_or(|last| last.version() < self.version) {
+            records.push(Record::Opened { version: self.version });
+        }
+        Some(records)
+    }
+
     /// What is to be recorded first, once it is open.
     pub fn opened(&self, unix_ms: u64) -> Record {
         Record::Opened { version: unix_ms.saturating_mul(VERSIONS_A_MS).max(self.version + 1) }
@@ -195,6 +263,8 @@
         Image {
             version: self.version,
             origin: self.origin,
+            epoch: self.epoch,
+            promoted: self.promoted,
             floor: self.floor,
             entries: self.entries.values().map(kept).collect(),
             gone: self.gone.values().cloned().collect(),
@@ -303,13 +373,18 @@
 
     /// Makes a change that is durable. One that is not newer than what is here has been made already.
     pub fn apply(&mut self, record: Record, now: Now) {
-        let (Record::Opened { version } | Record::Put { version, .. } | Record::Gone { version, .. }) =
-            record;
+        let version = record.version();
         if version <= self.version {
             return;
         }
         self.version = version;
         let id = match record {
+            Record::Promoted { epoch, .. } => {
+                (self.epoch, self.promoted, self.floor) = (epoch, true, version);
+                self.history.clear();
+                self.gone.clear();
+                return;
+            }
             Record::Opened { .. } => {
                 // A store that has told nothing yet has no history before this.
                 if self.origin == 0 {
@@ -382,12 +457,24 @@
             Some(Newer::Whole(servers)) => (true, servers),
             Some(Newer::Changes(servers)) => (false, servers),
         };
-        Some(encoded(&Telling { version: self.version, full, store: self.origin, servers }))
+        Some(encoded(&Telling {
+            version: self.version,
+            full,
+            store: self.origin,
+            epoch: self.epoch,
+            servers,
+        }))
     }
 
     /// The answer to a watch in whose time nothing has come.
     pub fn nothing(&self) -> Vec<u8> {
-        encoded(&Telling { version: self.version, full: false, store: self.origin, servers: Vec::new() })
+        encoded(&Telling {
+            version: self.version,
+            full: false,
+            store: self.origin,
+            epoch: self.epoch,
+            servers: Vec::new(),
+        })
     }
 
     pub fn show(&self, id: &str, now: Now) -> Option<Shown<'_>> {
--- a/discovery/tests/follow.rs
+++ b/discovery/tests/follow.rs
@@ -31,7 +31,7 @@
 
 fn list(version: u64, full: bool, store: u64, servers: &[(&str, State)]) -> HostList {
     let servers = servers.iter().map(|(id, state)| host(id, *state)).collect();
-    HostList { version, full, store: Some(store), servers }
+    HostList { version, full, store: Some(store), epoch: 0, servers }
 }
 
 /// What a reader of the lists that were passed on holds.
@@ -80,6 +80,19 @@
     assert_eq!((follower.version(), held.len()), (Some(3), 2));
 }
 
+#[test]
+fn a_new_writer_is_taken_whole_and_the_old_one_no_more() {
+    let (mut follower, mut held) = (Follower::new(CAUTION), BTreeMap::new());
+    let under = |epoch: u64, list: HostList| HostList { epoch, ..list };
+    passed(&mut follower, &mut held, under(1, list(10, true, 1, &[("a", Serving)])), 0);
+    // What the old one did last, "b", the new one has never heard of.
+    passed(&mut follower, &mut held, under(1, list(11, false, 1, &[("b", Serving)])), 1);
+    assert_eq!(follower.take(under(2, list(20, false, 1, &[("c", Serving)])), ms(2)), Taken::Foreign);
+    passed(&mut follower, &mut held, under(2, list(20, true, 1, &[("a", Serving), ("c", Serving)])), 3);
+    assert_eq!(held.keys().map(String::as_str).collect::<Vec<_>>(), ["a", "c"]);
+    assert_eq!(follower.take(under(1, list(99, true, 1, &[("b", Serving)])), ms(4)), Taken::Behind);
+}
+
 #[test]
 fn servers_that_are_missing_all_at_once_are_held_for_a_while_but_not_those_that_drain() {
     let (mut follower, mut held) = (Follower::new(CAUTION), BTreeMap::new());
@@ -141,6 +154,15 @@
     ]
 }
 
+/// The second takes over what the first has beyond it, as a replica does.
+fn copy(stores: &mut [Store; 2], now: Duration) {
+    match stores[0].records(stores[1].version()) {
+        Some(records) => records.into_iter().for_each(|record| stores[1].apply(record, now)),
+        None => stores[1] = Store::follow(stores[0].image(), now),
+    }
+    assert_eq!((stores[1].version(), listed(&stores[1])), (stores[0].version(), listed(&stores[0])));
+}
+
 fn listed(store: &Store) -> BTreeMap<String, State> {
     store.whole().into_iter().map(|host| (host.id.clone(), host.state)).collect()
 }
@@ -156,8 +178,7 @@
         .run(&prop::collection::vec(step(), 1..80), |steps| {
             let mut stores = [Store::default(), Store::default()];
             let opened = stores[0].opened(1_700_000_000_000);
-            stores[0].apply(opened.clone(), ms(0));
-            let mut records = vec![opened];
+            stores[0].apply(opened, ms(0));
             let (mut follower, mut held) = (Follower::new(CAUTION), BTreeMap::new());
             let (mut now, mut coming): (u64, Vec<(u64, Vec<u8>)>) = (0, Vec::new());
             let mut newest = 0;
@@ -183,11 +204,10 @@
                 };
                 if let Some(Ok(Decision::Change(record))) = command.map(|c| stores[0].decide(&c, ms(now), 1))
                 {
-                    stores[0].apply(record.clone(), ms(now));
-                    records.push(record);
+                    stores[0].apply(record, ms(now));
                 }
                 match step {
-                    Step::Copy => records.iter().for_each(|record| stores[1].apply(record.clone(), ms(now))),
+                    Step::Copy => copy(&mut stores, ms(now)),
                     Step::Call { service, late, cut, whole } if !cut && stores[service].version() > 0 => {
                         let since = follower.version().filter(|_| !whole);
                         let store = &stores[service];
--- a/discovery/tests/format.rs
+++ b/discovery/tests/format.rs
@@ -36,7 +36,7 @@
 proptest! {
     #[test]
     fn what_is_written_is_read_again(hosts in prop::collection::vec(host(), 0..20), version: u64, full: bool) {
-        let text = serde_json::to_vec(&Telling { version, full, store: 7, servers: hosts.iter().collect() }).unwrap();
+        let text = serde_json::to_vec(&Telling { version, full, store: 7, epoch: 1, servers: hosts.iter().collect() }).unwrap();
         let list: HostList = serde_json::from_slice(&text).unwrap();
         prop_assert_eq!((list.version, list.full), (version, full));
         prop_assert_eq!(list.servers, hosts.into_iter().map(Entry::Readable).collect::<Vec<_>>());
@@ -63,7 +63,7 @@
     /// A good list with some bytes of it changed.
     #[test]
     fn a_spoilt_list_is_read_as_far_as_it_goes(hosts in prop::collection::vec(host(), 1..5), spoil in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..4)) {
-        let mut text = serde_json::to_vec(&Telling { version: 1, full: true, store: 7, servers: hosts.iter().collect() }).unwrap();
+        let mut text = serde_json::to_vec(&Telling { version: 1, full: true, store: 7, epoch: 1, servers: hosts.iter().collect() }).unwrap();
         for (at, byte) in spoil {
             let at = at.index(text.len());
             text[at] = byte;
--- a/discovery/tests/store.rs
+++ b/discovery/tests/store.rs
@@ -309,7 +309,7 @@
         match &record {
             Record::Put { host, .. } => drop(after.insert(host.id.clone(), (host.addr.port(), host.state))),
             Record::Gone { id, .. } => drop(after.remove(id)),
-            Record::Opened { .. } => unreachable!(),
+            Record::Opened { .. } | Record::Promoted { .. } => unreachable!(),
         }
         if self.journal.append(std::slice::from_ref(&record)).is_err() {
             // Nobody is told. It may come to light after a restart, if nothing else was written since.
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -237,7 +237,7 @@
         if servers.is_empty() {
             return false;
         }
-        self.told(HostList { version: 0, full: true, store: None, servers });
+        self.told(HostList { version: 0, full: true, store: None, epoch: 0, servers });
         self.version = None;
         true
     }
