--- a/discovery/src/config.rs
+++ b/discovery/src/config.rs
@@ -15,10 +15,29 @@
     /// Whoever reaches the service can change the list: other than on the loopback address it listens only if told so.
     #[serde(default)]
     allow_other_than_loopback: bool,
+    /// The other processes of this store. One that writes asks them whether another one does by now.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
+    /// The one that writes, where this one does not.
+    pub follow: Option<SocketAddr>,
+    /// A replica that has not been in step with the one that writes for this long tells no lists; one that writes and has
+    /// not heard of half of its peers for this long writes no more.
+    #[serde(default = "stale")]
+    pub stale_ms: u64,
     #[serde(default)]
     pub limits: Limits,
 }
 
+fn stale() -> u64 {
+    5000
+}
+
+/// Others of a store.
+const PEERS_MOST: usize = 8;
+/// A replica that is further behind is no use.
+const STALE_MOST_MS: u64 = 60_000;
+const STALE_LEAST_MS: u64 = 1000;
+
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
@@ -60,6 +79,12 @@
                 config.listen
             ));
         }
+        if config.peers.len() > PEERS_MOST {
+            return Err(format!("peers: more than {PEERS_MOST}"));
+        }
+        if !(STALE_LEAST_MS..=STALE_MOST_MS).contains(&config.stale_ms) {
+            return Err(format!("stale_ms: not from {STALE_LEAST_MS} to {STALE_MOST_MS}"));
+        }
         let Limits { connections, watches, whole_lists_per_s, gather_ms } = config.limits;
         if connections == 0 || watches == 0 || whole_lists_per_s == 0 || gather_ms > GATHER_MOST_MS {
             return Err(format!("limits: each is above 0, and gather_ms {GATHER_MOST_MS} at most"));
--- a/discovery/src/http.rs
+++ b/discovery/src/http.rs
@@ -1,9 +1,9 @@
 //! Calls and answers as bytes: HTTP/1.1, one call at a time on a connection, bodies with a length.
 
 use crate::format::{Ask, HOSTS};
-use crate::store::{Command, Refusal, Registration, LEASE_LEAST, LEASE_MOST, NAME_MOST};
+use crate::store::{Command, Image, Record, Refusal, Registration, LEASE_LEAST, LEASE_MOST, NAME_MOST};
 use serde::de::DeserializeOwned;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -126,9 +126,40 @@
     },
     /// How the service is.
     Status,
+    /// What a replica that holds this lacks.
+    Records(Replica),
+    /// This process is to write from now on, under this epoch.
+    Promote {
+        epoch: u64,
+    },
     Command(Command),
 }
 
+/// How far a replica is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Replica {
+    pub store: u64,
+    pub epoch: u64,
+    pub version: u64,
+    /// How long it waits where it lacks nothing.
+    pub wait_ms: u64,
+}
+
+/// What it lacks: changes, or all of another store or epoch.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Replicated {
+    pub epoch: u64,
+    pub records: Vec<Record>,
+    pub image: Option<Image>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Promoting {
+    epoch: u64,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Registering {
@@ -209,6 +240,15 @@
             takes("POST")?;
             registering(body(&call.body)?)?
         }
+        "/discovery/records" => {
+            takes("POST")?;
+            return body(&call.body).map(Request::Records);
+        }
+        "/discovery/promote" => {
+            takes("POST")?;
+            let Promoting { epoch } = body(&call.body)?;
+            return Ok(Request::Promote { epoch });
+        }
         "/discovery/renew" => Command::Renew { id: naming()?.id },
         "/discovery/drain" => naming().map(|Naming { id, revision }| Command::Drain { id, revision })?,
         "/discovery/undrain" => naming().map(|Naming { id, revision }| Command::Undrain { id, revision })?,
@@ -271,6 +311,36 @@
     answer
 }
 
+/// A call, as a replica makes it, after which the connection is closed.
+pub fn call(method: &str, path: &str, body: &[u8]) -> Vec<u8> {
+    let length = body.len();
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: list\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n"
+    );
+    [head.as_bytes(), body].concat()
+}
+
+/// The body of a whole answer of 200; why there is none.
+pub fn answered(bytes: &[u8]) -> Result<&[u8], String> {
+    let mut lines = [httparse::EMPTY_HEADER; LINES_MOST];
+    let mut response = httparse::Response::new(&mut lines);
+    let Ok(httparse::Status::Complete(head)) = response.parse(bytes) else {
+        return Err("an answer that cannot be read".to_owned());
+    };
+    let length = response.headers.iter().find(|header| header.name.eq_ignore_ascii_case("content-length"));
+    let length =
+        length.and_then(|header| std::str::from_utf8(header.value).ok()?.trim().parse::<usize>().ok());
+    let body = length.and_then(|length| bytes.get(head..)?.get(..length));
+    match (response.code, body) {
+        (Some(200), Some(body)) => Ok(body),
+        (Some(200), None) => Err("an answer that is cut off".to_owned()),
+        (code, body) => {
+            let why = body.map(|body| one_line(&String::from_utf8_lossy(body))).unwrap_or_default();
+            Err(format!("answered {}: {}", code.unwrap_or(0), why.trim()))
+        }
+    }
+}
+
 pub fn no(no: &No, keeps: bool) -> Vec<u8> {
     let connection = if keeps { "" } else { "Connection: close\r\n" };
     let retry = no.retry_after.map(|after| format!("Retry-After: {after}\r\n")).unwrap_or_default();
--- a/discovery/src/main.rs
+++ b/discovery/src/main.rs
@@ -2,11 +2,13 @@
 #![forbid(unsafe_code)]
 
 mod config;
+mod replicas;
 mod service;
 
 use config::Config;
 use mapledeck_discovery::journal::{Folder, Journal};
 use mapledeck_discovery::store::Store;
+use replicas::Role;
 use service::{unix_ms, Service};
 use std::fmt::Display;
 use std::io::{self, Write};
@@ -48,24 +50,28 @@
         log(format_args!("cut off {} bytes at the log's end that nobody was told of", held.cut));
     }
     let mut store = Store::restore(held.image, held.records, Duration::ZERO);
-    let opened = store.opened(unix_ms());
-    journal.append(std::slice::from_ref(&opened)).map_err(|e| place(&e))?;
-    store.apply(opened, Duration::ZERO);
+    let role = Role::at_start(&config, &store);
+    if role.writes() {
+        let opened = store.opened(unix_ms());
+        journal.append(std::slice::from_ref(&opened)).map_err(|e| place(&e))?;
+        store.apply(opened, Duration::ZERO);
+    }
     let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
     let runtime = runtime.map_err(|e| e.to_string())?;
-    runtime.block_on(serve(config, store, journal)).map_err(|e| e.to_string())
+    runtime.block_on(serve(config, role, store, journal)).map_err(|e| e.to_string())
 }
 
-async fn serve(config: Config, store: Store, journal: Journal<Folder>) -> io::Result<()> {
+async fn serve(config: Config, role: Role, store: Store, journal: Journal<Folder>) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let listener = TcpListener::bind(config.listen).await?;
     let listen = listener.local_addr()?;
     log(format_args!("version {}, {} servers", store.version(), store.len()));
-    let service = Service::new(config, store, journal);
+    let service = Service::new(config, role, store, journal);
     let leases = service.clone();
     spawn_local(async move { leases.end_leases().await });
     let changes = service.clone();
     spawn_local(async move { changes.tell_changes().await });
+    replicas::begin(&service);
     log(format_args!("listening on {listen}"));
     tokio::select! {
         () = service.accept(&listener) => {}
--- a/discovery/src/service.rs
+++ b/discovery/src/service.rs
@@ -2,8 +2,9 @@
 
 use crate::config::Config;
 use crate::log;
+use crate::replicas::Role;
 use mapledeck_discovery::format::Ask;
-use mapledeck_discovery::http::{self, No, Read, Request, BODY_MOST, HEAD_MOST};
+use mapledeck_discovery::http::{self, No, Read, Replica, Replicated, Request, BODY_MOST, HEAD_MOST};
 use mapledeck_discovery::journal::{Folder, Journal};
 use mapledeck_discovery::store::{Command, Decision, Record, Refusal, Store};
 use std::cell::{Cell, RefCell};
@@ -29,6 +30,10 @@
 const RETRY: Duration = Duration::from_secs(1);
 /// Pause after an accept that failed, for want of descriptors above all.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Leases that have ended and may not be written yet are looked at again after this time.
+const LEASE_PAUSE: Duration = Duration::from_millis(5);
+/// The longest that a replica waits for changes; it hears as often that there are none.
+const REPLICA_MOST: Duration = Duration::from_secs(1);
 /// Answers that are kept to be shared: those who watch hold a few versions at the most.
 const SHARED_MOST: usize = 64;
 
@@ -55,9 +60,10 @@
 }
 
 pub struct Service {
-    config: Config,
+    pub config: Config,
+    pub role: RefCell<Role>,
     begun: Instant,
-    store: RefCell<Store>,
+    pub store: RefCell<Store>,
     journal: RefCell<Journal<Folder>>,
     encoded: RefCell<Encoded>,
     whole: RefCell<Whole>,
@@ -94,10 +100,11 @@
 }
 
 impl Service {
-    pub fn new(config: Config, store: Store, journal: Journal<Folder>) -> Rc<Service> {
+    pub fn new(config: Config, role: Role, store: Store, journal: Journal<Folder>) -> Rc<Service> {
         let begun = Instant::now();
         let whole = Whole { left: f64::from(config.limits.whole_lists_per_s), at: begun };
         Rc::new(Service {
+            role: RefCell::new(role),
             begun,
             told: watch::channel(store.version()).0,
             store: RefCell::new(store),
@@ -118,7 +125,7 @@
     }
 
     /// Time on the store's clock.
-    fn now(&self) -> Duration {
+    pub fn now(&self) -> Duration {
         self.begun.elapsed()
     }
 
@@ -189,15 +196,24 @@
                         () = gone(stream) => return,
                     }
                 }
+                Ok(Request::Records(replica)) => {
+                    tokio::select! {
+                        answer = self.records(replica, &mut closing) => answer,
+                        () = gone(stream) => return,
+                    }
+                }
                 Ok(request) => self.carry_out(request).map(|body| http::yes(&body, true).into()),
                 Err(no) => Err(no),
             };
             let answer = answer.unwrap_or_else(|no| http::no(&no, true).into());
             let ends = !keeps || *closing.borrow();
-            let written = if ends {
-                self.write(stream, &closed(&answer)).await
-            } else {
+            let lag = self.role.borrow().lag();
+            let lag = lag.map(|lag| format!("X-List-Lag-Ms: {}\r\n", lag.as_millis())).unwrap_or_default();
+            let more = if ends { lag + "Connection: close\r\n" } else { lag };
+            let written = if more.is_empty() {
                 self.write(stream, &answer).await
+            } else {
+                self.write(stream, &with(&answer, &more)).await
             };
             if !written || ends {
                 return;
@@ -250,6 +266,7 @@
 
     /// The list, or what is newer than the caller's as soon as there is something.
     async fn hosts(&self, ask: Ask, closing: &mut watch::Receiver<bool>) -> Result<Shared, No> {
+        self.role.borrow().serves(&self.config, &self.store.borrow())?;
         let Ask::Watch { since, wait } = ask else { return self.telling(None) };
         if since != self.store.borrow().version() || wait.is_zero() {
             return self.telling(Some(since));
@@ -265,6 +282,79 @@
         self.telling(Some(since))
     }
 
+    /// What a replica lacks, as soon as it lacks something, or nothing after its wait.
+    async fn records(&self, replica: Replica, closing: &mut watch::Receiver<bool>) -> Result<Shared, No> {
+        let Replica { store, epoch, version, wait_ms } = replica;
+        self.heard_of(epoch);
+        self.role.borrow().serves(&self.config, &self.store.borrow())?;
+        if !self.role.borrow().writes() {
+            return Err(No::new(409, "this process does not write, and replicas follow the one that does"));
+        }
+        let same = |s: &Store| s.origin() == store && s.epoch() == epoch;
+        let lacks = { same(&self.store.borrow()) && self.store.borrow().version() == version };
+        if lacks {
+            let mut told = self.told.subscribe();
+            tokio::select! {
+                _ = told.wait_for(|told| *told > version) => {}
+                _ = closing.wait_for(|closing| *closing) => {}
+                () = sleep(Duration::from_millis(wait_ms).min(REPLICA_MOST)) => {}
+            }
+        }
+        let held = self.store.borrow();
+        let records = if same(&held) { held.records(version) } else { None };
+        let image = records.is_none().then(|| held.image());
+        let replicated = Replicated { epoch: held.epoch(), records: records.unwrap_or_default(), image };
+        Ok(http::yes(&json(&replicated), true).into())
+    }
+
+    /// Another process of this store is at this epoch.
+    pub fn heard_of(&self, epoch: u64) {
+        let own = self.store.borrow().epoch();
+        if epoch > own {
+            self.role.borrow_mut().superseded(&self.config, epoch);
+        }
+    }
+
+    /// Takes over what the one that writes has told.
+    pub fn replicate(&self, told: Replicated) -> Result<(), String> {
+        let own = self.store.borrow().epoch();
+        if told.epoch < own {
+            return Err(format!("it is at epoch {}, and this one at {own}", told.epoch));
+        }
+        let now = self.now();
+        if let Some(image) = told.image {
+            let store = Store::follow(image, now);
+            self.journal.borrow_mut().compact(&store.image()).map_err(|e| e.to_string())?;
+            *self.store.borrow_mut() = store;
+            self.tell();
+        } else if !told.records.is_empty() {
+            let mut journal = self.journal.borrow_mut();
+            journal.append(&told.records).map_err(|e| e.to_string())?;
+            let mut store = self.store.borrow_mut();
+            told.records.into_iter().for_each(|record| store.apply(record, now));
+            if journal.long() {
+                drop(journal.compact(&store.image()));
+            }
+            drop((journal, store));
+            self.tell();
+        }
+        Ok(())
+    }
+
+    fn promote(&self, epoch: u64) -> Result<Vec<u8>, No> {
+        let record = self.store.borrow().promotion(epoch, unix_ms());
+        let at = self.store.borrow().epoch();
+        let record = record.ok_or_else(|| No::new(409, format!("epoch: this store is at {at}")))?;
+        self.change(record).map_err(|e| {
+            log(format_args!("not written: {e}"));
+            No::busy("the promotion could not be written, and was not made")
+        })?;
+        self.store.borrow_mut().renew_all(self.now());
+        self.role.replace(Role::promoted(&self.config));
+        log(format_args!("promoted: writes under epoch {epoch}"));
+        Ok(self.status())
+    }
+
     /// The answer for whoever holds this version, encoded once for all of them.
     fn telling(&self, since: Option<u64>) -> Result<Shared, No> {
         let store = self.store.borrow();
@@ -290,11 +380,13 @@
             Request::Command(command) => self.command(&command),
             Request::Show { id } => self.shown(&id),
             Request::Status => Ok(self.status()),
-            Request::Hosts(_) => Err(No::new(500, "not here")),
+            Request::Promote { epoch } => self.promote(epoch),
+            Request::Hosts(_) | Request::Records(_) => Err(No::new(404, "no such call")),
         }
     }
 
     fn command(&self, command: &Command) -> Result<Vec<u8>, No> {
+        self.role.borrow().may_write(&self.config)?;
         let decision = self.store.borrow().decide(command, self.now(), unix_ms())?;
         match decision {
             Decision::Nothing => {}
@@ -321,6 +413,9 @@
         let (store, journal) = (self.store.borrow(), self.journal.borrow());
         json(&serde_json::json!({
             "version": store.version(),
+            "epoch": store.epoch(),
+            "role": self.role.borrow().name(),
+            "lag_ms": self.role.borrow().lag().map(|lag| lag.as_millis() as u64),
             "servers": store.len(),
             "connections": self.connections.get(),
             "watches": self.watches.get(),
@@ -369,7 +464,10 @@
     /// Ends leases as their time comes, for good.
     pub async fn end_leases(&self) {
         loop {
-            while let Some(record) = self.ended() {
+            // A replica hears of it, and one that may not write leaves it for later.
+            while let Some(record) =
+                self.ended().filter(|_| self.role.borrow().may_write(&self.config).is_ok())
+            {
                 let Record::Gone { id, .. } = &record else { break };
                 let line = format!("the lease of {id:?} has ended");
                 if let Err(e) = self.change(record) {
@@ -379,7 +477,11 @@
                     log(line);
                 }
             }
-            let next = self.store.borrow().next_end().map(|end| self.begun + end);
+            let next = self
+                .store
+                .borrow()
+                .next_end()
+                .map(|end| (self.begun + end).max(Instant::now() + LEASE_PAUSE));
             tokio::select! {
                 () = sleep_until(next.unwrap_or_else(|| Instant::now() + IDLE_MOST)) => {}
                 () = self.leases.notified() => {}
@@ -405,10 +507,10 @@
     serde_json::to_vec(value).unwrap_or_default()
 }
 
-/// The same answer, after which the connection is closed.
-fn closed(answer: &[u8]) -> Vec<u8> {
+/// The same answer with further lines of its head, which are this caller's alone.
+fn with(answer: &[u8], lines: &str) -> Vec<u8> {
     let line = answer.windows(2).position(|end| end == b"\r\n").map_or(answer.len(), |at| at + 2);
-    [&answer[..line], b"Connection: close\r\n", &answer[line..]].concat()
+    [&answer[..line], lines.as_bytes(), &answer[line..]].concat()
 }
 
 /// Waits until the caller has closed its connection; what else it sends is its next call.
--- a/discovery/src/store.rs
+++ b/discovery/src/store.rs
@@ -212,6 +212,11 @@
         Store::restore(Image { promoted: false, ..image }, [], now)
     }
 
+    /// By which it is told from other stores.
+    pub fn origin(&self) -> u64 {
+        self.origin
+    }
+
     pub fn epoch(&self) -> u64 {
         self.epoch
     }
--- /dev/null
+++ b/discovery/tests/wire.rs
@@ -0,0 +1,85 @@
+//! Every decoder of the service against bytes of any kind, and against good ones that are cut or spoilt.
+
+use mapledeck_discovery::http::*;
+use mapledeck_discovery::journal::{Folder, Journal};
+use proptest::prelude::*;
+
+fn good() -> impl Strategy<Value = Vec<u8>> {
+    prop_oneof![
+        ("[a-z/]{0,20}", "[a-z=&0-9]{0,20}").prop_map(|(path, query)| format!("GET /{path}?{query} HTTP/1.1\r\nHost: x\r\n\r\n").into_bytes()),
+        ("(register|renew|drain|undrain|deregister|show|records|promote)", "\\PC{0,60}").prop_map(|(path, body)| {
+            call("POST", &format!("/discovery/{path}"), body.as_bytes())
+        }),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn bytes_of_any_kind_are_a_call_or_not(bytes in prop::collection::vec(any::<u8>(), 0..600)) {
+        if let Read::Whole(call, used) = read(&bytes) {
+            prop_assert!(used <= bytes.len() && call.body.len() <= BODY_MOST);
+            drop(understood(&call));
+        }
+        drop(answered(&bytes));
+    }
+
+    /// A call is read whole once all of it has come, whatever comes behind it, and not before.
+    #[test]
+    fn a_call_in_pieces_is_the_same_call(bytes in good(), behind in prop::collection::vec(any::<u8>(), 0..50), cut: prop::sample::Index) {
+        let Read::Whole(whole, used) = read(&bytes) else { panic!("{}", String::from_utf8_lossy(&bytes)) };
+        prop_assert_eq!(used, bytes.len());
+        prop_assert_eq!(read(&bytes[..cut.index(bytes.len())]), Read::Part);
+        drop(understood(&whole));
+        let more = [bytes.clone(), behind].concat();
+        prop_assert_eq!(read(&more), Read::Whole(whole, used));
+    }
+
+    #[test]
+    fn a_spoilt_call_is_never_more_than_it_was(bytes in good(), spoil in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..5)) {
+        let mut bad = bytes;
+        for (at, byte) in spoil {
+            let at = at.index(bad.len());
+            bad[at] = byte;
+        }
+        match read(&bad) {
+            Read::Whole(call, used) => {
+                prop_assert!(used <= bad.len());
+                if let Err(no) = understood(&call) {
+                    prop_assert!((400..500).contains(&no.status) && !no.why.contains('\n'), "{:?}", no);
+                }
+            }
+            Read::Unreadable(no) => prop_assert!((400..500).contains(&no.status)),
+            Read::Part => {}
+        }
+    }
+
+    #[test]
+    fn an_answer_is_read_as_it_is_written(body in prop::collection::vec(any::<u8>(), 0..300), cut: prop::sample::Index) {
+        let answer = yes(&body, false);
+        prop_assert_eq!(answered(&answer), Ok(&body[..]));
+        prop_assert!(answered(&answer[..cut.index(answer.len())]).is_err());
+        prop_assert!(answered(&no(&No::busy("x"), false)).is_err());
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
+
+    /// Whatever stands in the files, the start ends with an error or finds a store; it never makes up more than was there.
+    #[test]
+    fn files_of_any_kind_are_read_or_refused(log in prop::collection::vec(any::<u8>(), 0..200), magic: bool, snapshot in prop::option::of(prop::collection::vec(any::<u8>(), 0..100))) {
+        static NEXT: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
+        let number = NEXT.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+        let path = std::env::temp_dir().join(format!("mapledeck-any-{}-{number}", std::process::id()));
+        drop(Journal::open(Folder::take(&path).unwrap().unwrap()).expect("new"));
+        let head: &[u8] = if magic { b"MDDLOG01" } else { b"" };
+        std::fs::write(path.join("log.1"), [head, &log].concat()).unwrap();
+        if let Some(snapshot) = snapshot {
+            std::fs::write(path.join("snap.1"), snapshot).unwrap();
+        }
+        if let Ok((_, held)) = Journal::open(Folder::take(&path).unwrap().unwrap()) {
+            prop_assert!(held.records.is_empty(), "no frame of this has its checksums");
+        }
+        drop(std::fs::remove_dir_all(path));
+    }
+}
