--- a/discovery/tests/service.rs
+++ b/discovery/tests/service.rs
@@ -256,6 +256,46 @@
     drop(std::fs::remove_dir_all(folder));
 }
 
+#[test]
+fn three_hundred_watchers_that_come_back_at_once_after_a_restart_go_on_without_a_whole_list() {
+    let folder = folder();
+    // Whole lists would run out at once.
+    let settings = config("127.0.0.1:0", &folder, r#","limits":{"whole_lists_per_s":1}"#);
+    let service = Running::start(&folder, &settings);
+    let mut operator = service.client();
+    for n in 0..50 {
+        assert_eq!(operator.register(&format!("s-{n}"), 80, "").status, 200);
+    }
+    let held = version(&operator.get("/discovery/hosts"));
+    let mut watchers: Vec<Client> = (0..300).map(|_| service.client()).collect();
+    watchers.iter_mut().for_each(|w| w.write(&format!("GET {} HTTP/1.1\r\n\r\n", hosts(held, 20_000))));
+    until("all wait", || operator.get("/discovery/status").json()["watches"] == 300);
+    service.kill();
+    assert!(watchers.iter_mut().all(|watcher| watcher.answer().is_none()), "nobody was told anything");
+    let second = Running::start(&folder, &settings);
+    let mut watchers: Vec<Client> = (0..300).map(|_| second.client()).collect();
+    watchers.iter_mut().for_each(|w| w.write(&format!("GET {} HTTP/1.1\r\n\r\n", hosts(held, 20_000))));
+    let mut now = 0;
+    for watcher in &mut watchers {
+        let answer = watcher.answer().expect("an answer");
+        assert_eq!((answer.status, answer.json()["full"].as_bool()), (200, Some(false)), "{answer:?}");
+        now = version(&answer);
+    }
+    // And on from there.
+    watchers.iter_mut().for_each(|w| w.write(&format!("GET {} HTTP/1.1\r\n\r\n", hosts(now, 20_000))));
+    let mut operator = second.client();
+    until("all wait again", || operator.get("/discovery/status").json()["watches"] == 300);
+    let encoded = operator.get("/discovery/status").json()["encodings"].as_u64().expect("a number");
+    assert_eq!(operator.post("/discovery/drain", r#"{"id":"s-7"}"#).status, 200);
+    for watcher in &mut watchers {
+        assert_eq!(watcher.answer().expect("news").json()["servers"][0]["id"], "s-7");
+    }
+    let encodings =
+        operator.get("/discovery/status").json()["encodings"].as_u64().expect("a number") - encoded;
+    assert_eq!(encodings, 1, "one for all of them");
+    drop(std::fs::remove_dir_all(folder));
+}
+
 #[test]
 fn sigterm_answers_the_watches_that_wait() {
     let folder = folder();
