Move the follower to another store in the seeded runs too

Nothing of the former one stays, and no changes of the new one are told to whoever holds a version of the old.

--- a/discovery/tests/follow.rs
+++ b/discovery/tests/follow.rs
@@ -140,6 +140,8 @@
         whole: bool,
     },
     Pass(u64),
+    /// Another store stands at the addresses from now on, with one server of its own, and calls on their way are given up.
+    OtherStore,
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -151,6 +153,7 @@
         6 => (0..2_usize, 0..3000_u64, prop::bool::weighted(0.3), prop::bool::weighted(0.2))
             .prop_map(|(service, late, cut, whole)| Step::Call { service, late, cut, whole }),
         2 => (0..2000_u64).prop_map(Step::Pass),
+        1 => prop::bool::weighted(0.2).prop_map(|other| if other { Step::OtherStore } else { Step::Copy }),
     ]
 }
 
@@ -173,7 +176,7 @@
 fn what_is_held_never_goes_back_and_converges_when_faults_end() {
     let config = Config { cases: 3000, failure_persistence: None, ..Config::default() };
     let mut runner = TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[3; 32]));
-    let (behind, suspects) = (Cell::new(0), Cell::new(0));
+    let (behind, suspects, moves) = (Cell::new(0), Cell::new(0), Cell::new(0));
     runner
         .run(&prop::collection::vec(step(), 1..80), |steps| {
             let mut stores = [Store::default(), Store::default()];
@@ -181,7 +184,7 @@
             stores[0].apply(opened, ms(0));
             let (mut follower, mut held) = (Follower::new(CAUTION), BTreeMap::new());
             let (mut now, mut coming): (u64, Vec<(u64, Vec<u8>)>) = (0, Vec::new());
-            let mut newest = 0;
+            let (mut newest, mut made) = (0, 0);
             for step in steps {
                 let command = match &step {
                     Step::Register(id) => Some(Command::Register {
@@ -214,6 +217,16 @@
                         coming.push((now + late, store.telling(since).unwrap_or_else(|| store.nothing())));
                     }
                     Step::Pass(millis) => now += millis,
+                    Step::OtherStore => {
+                        made += 1;
+                        moves.set(moves.get() + 1);
+                        stores = [Store::default(), Store::default()];
+                        let opened = stores[0].opened(1_700_000_000_000 - 1000 * made);
+                        stores[0].apply(opened, ms(now));
+                        coming.clear();
+                        // Its versions are lower, and say nothing of the former one's.
+                        newest = 0;
+                    }
                     _ => {}
                 }
                 coming.sort();
@@ -229,7 +242,8 @@
                         Taken::Behind => {
                             behind.set(behind.get() + 1);
                         }
-                        Taken::Foreign => prop_assert!(false, "there is but one store"),
+                        // Versions of two stores do not meet, so a watch that moves is told the whole list at once.
+                        Taken::Foreign => prop_assert!(false, "changes of another store"),
                     }
                 }
                 follower.give_up(ms(now)).iter().for_each(|list| pass(&mut held, list));
@@ -246,5 +260,6 @@
             Ok(())
         })
         .unwrap();
+    assert!(moves.get() > 500, "{}", moves.get());
     assert!(behind.get() > 500 && suspects.get() > 100, "{} {}", behind.get(), suspects.get());
 }
