Send no first attempt where even the best server is silent beyond doubt

Seen: only the class's mean did; a request went to the one server left though that had answered nothing for its doubted time.

Change (src/rules.rs, pick): where the best server by cost has an attempt out beyond its doubted time and has answered nothing since, a first attempt is not sent, and the request is refused at once. An answer, or the end of that attempt at its deadline, ends it.

Test: a_first_attempt_is_not_sent_where_even_the_best_server_is_silent_beyond_doubt; fails without.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1010,7 +1010,7 @@
             self.usable().filter(|s| s.near).map(|s| s.size(mean_size) * s.warmth(now, &self.cfg)).sum();
         let warm_rate = self.sends / life / f64::max(warm, 0.1);
         let noise: Vec<f64> = (0..self.servers.len()).map(|_| self.random.uniform()).collect();
-        let mut best: Option<(f64, f64, ServerId)> = None;
+        let mut best: Option<(f64, f64, bool, ServerId)> = None;
         for (s, noise) in self.servers.values_mut().zip(noise) {
             let usable = s.info.lifecycle == Lifecycle::Running && !self.disabled.contains_key(&s.info.id);
             if !usable || !fits(&s.info) {
@@ -1040,13 +1040,14 @@
                 * if warmth < 1.0 { CHOICE.4 } else { 1.0 }
                 * if s.owed { 0.0 } else { 1.0 };
             if best.is_none_or(|(least, ..)| cost < least) {
-                best = Some((cost, typical * slow, s.info.id));
+                best = Some((cost, typical * slow, silent.is_some_and(|o| now >= o.doubted), s.info.id));
             }
         }
-        // Where even this one is too slow, a further attempt is not sent. A first one is, as that shows when
-        // it has recovered; of those the class's mean decides on arrival.
+        // Where even this one is too slow for what is left, or silent beyond doubt, nothing is sent. A first
+        // attempt may go to a slow one that answers: that shows when it has recovered.
         let (first, left) = (request.attempts.is_empty(), request.wanted.since(now));
-        best.filter(|(_, takes, _)| first || LEFT_LEAST * takes <= left).map(|(.., id)| id)
+        let hopeful = |takes: f64, silent: bool| if first { !silent } else { LEFT_LEAST * takes <= left };
+        best.filter(|(_, takes, silent, _)| hopeful(*takes, *silent)).map(|(.., id)| id)
     }
 
     fn send(&mut self, id: RequestId, server: ServerId, actions: &mut Vec<Action>) {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -1037,3 +1037,24 @@
         );
     }
 }
+
+/// A first attempt went to a server that had been silent beyond doubt, when there was no other: nothing could be expected of
+/// it in time, and the client was kept waiting.
+#[test]
+fn a_first_attempt_is_not_sent_where_even_the_best_server_is_silent_beyond_doubt() {
+    let mut door = Door::new(settings(vec![class(Effect::Unsafe, 1.0)], vec![roomy()]), 1);
+    for _ in 0..40 {
+        door.serve(0, 0, 1, 50);
+    }
+    door.pass(1);
+    let (id, actions) = door.request(0, 0, 2);
+    assert!(sent(&actions).is_some());
+    // Six mean latencies, and half of the aim of 800 ms at least, are its time.
+    door.pass(500);
+    let (_, actions) = door.request(0, 0, 4);
+    assert!(refused(&actions) && sent(&actions).is_none(), "at once, and with a time to come back");
+    // One answer, and it is asked again.
+    door.settle(id, 0, Status::Ok, 500);
+    let (_, actions) = door.request(0, 0, 5);
+    assert!(sent(&actions).is_some());
+}
