--- a/gateway/tests/upgrade.rs
+++ b/gateway/tests/upgrade.rs
@@ -61,6 +61,7 @@
     until("the new one is ready", || new.call("GET", "/ready") == 200);
     assert!(new.log().contains("takes over"), "{}", new.log());
     old.terminate();
+    until("the old one has heard of it", || old.call("GET", "/ready") == 503);
     // In hand, on a connection that was kept, and on many new ones: all are served.
     servers[1].speak(&ok("b"));
     servers[1].act(|_| ok("b"));
