--- /dev/null
+++ b/lab/src/compare.rs
@@ -0,0 +1,90 @@
+//! Two runs side by side; or two folders of runs, with the spread over their seeds.
+
+use crate::figures::Summary;
+use crate::shell::run::{HISTORY, SUMMARY};
+use crate::verdict::judge;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::Path;
+
+/// The runs in a folder: itself, or those in it.
+fn runs(dir: &Path) -> Result<Vec<Summary>, String> {
+    let place = |e: &dyn std::fmt::Display| format!("{}: {e}", dir.display());
+    if dir.join(HISTORY).is_file() {
+        return Ok(vec![summary(dir)?]);
+    }
+    let mut runs = Vec::new();
+    for entry in fs::read_dir(dir).map_err(|e| place(&e))? {
+        let path = entry.map_err(|e| place(&e))?.path();
+        if path.join(HISTORY).is_file() {
+            runs.push(summary(&path)?);
+        }
+    }
+    match runs.is_empty() {
+        true => Err(place(&"no run is kept there")),
+        false => Ok(runs),
+    }
+}
+
+fn summary(dir: &Path) -> Result<Summary, String> {
+    match fs::read(dir.join(SUMMARY)) {
+        Ok(text) => {
+            serde_json::from_slice(&text).map_err(|e| format!("{}: {e}", dir.join(SUMMARY).display()))
+        }
+        Err(_) => Ok(judge(dir)?.0.summary),
+    }
+}
+
+/// Every figure of a run, by its name.
+fn figures(summary: &Summary) -> BTreeMap<String, f64> {
+    let mut figures = BTreeMap::new();
+    flatten("", &serde_json::json!(summary), &mut figures);
+    figures.remove("seed");
+    let requests = summary.requests.max(1) as f64;
+    figures.insert("served_share".to_owned(), summary.served as f64 / requests);
+    figures
+}
+
+fn flatten(prefix: &str, value: &Value, into: &mut BTreeMap<String, f64>) {
+    match value {
+        Value::Object(fields) => fields.iter().for_each(|(name, value)| {
+            let name = if prefix.is_empty() { name.clone() } else { format!("{prefix}.{name}") };
+            flatten(&name, value, into);
+        }),
+        Value::Number(number) => drop(number.as_f64().map(|number| into.insert(prefix.to_owned(), number))),
+        Value::Bool(holds) => drop(into.insert(prefix.to_owned(), f64::from(u8::from(*holds)))),
+        _ => {}
+    }
+}
+
+/// Median and spread of a figure over runs that have it.
+fn over(runs: &[BTreeMap<String, f64>], name: &str) -> Option<(f64, f64, f64)> {
+    let mut values: Vec<f64> = runs.iter().filter_map(|run| run.get(name).copied()).collect();
+    values.sort_by(f64::total_cmp);
+    Some((*values.first()?, values[values.len() / 2], *values.last()?))
+}
+
+/// A table; the error names a folder that holds no run.
+pub fn compare(one: &Path, other: &Path) -> Result<String, String> {
+    let sides = [runs(one)?, runs(other)?];
+    let figured: Vec<Vec<_>> = sides.iter().map(|runs| runs.iter().map(figures).collect()).collect();
+    let mut names: Vec<&String> = figured.iter().flatten().flat_map(|run| run.keys()).collect();
+    names.sort();
+    names.dedup();
+    let mut table = format!(
+        "{:<38} {:>30} {:>30}\n",
+        "median (least to most)",
+        format!("{} runs", sides[0].len()),
+        format!("{} runs", sides[1].len())
+    );
+    for name in names {
+        let cell = |runs: &[BTreeMap<String, f64>]| match over(runs, name) {
+            Some((least, median, most)) if least == most => format!("{median:.4}"),
+            Some((least, median, most)) => format!("{median:.4} ({least:.4} to {most:.4})"),
+            None => "-".to_owned(),
+        };
+        table += &format!("{name:<38} {:>30} {:>30}\n", cell(&figured[0]), cell(&figured[1]));
+    }
+    Ok(table)
+}
--- /dev/null
+++ b/lab/src/deployment.rs
@@ -0,0 +1,341 @@
+//! What a scenario and a seed come to: who the customers are, how fast each server is, what each gateway is told, and whom
+//! each fault strikes. The same scenario and seed give the same deployment, load and faults, on every machine.
+
+use crate::scenario::{Fault, FaultKind, Kind, Scenario, Target};
+use rand::seq::{index, SliceRandom};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Gamma};
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::fmt::{self, Display};
+
+/// Nanoseconds, since the run's begin where it is an instant.
+pub type Nanos = u64;
+
+pub const MS: Nanos = 1_000_000;
+pub const SECOND: Nanos = 1_000 * MS;
+
+/// One end of a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum End {
+    /// All clients, and the front before the gateways.
+    Clients,
+    Gateway(u16),
+    PayServer(u16),
+    ListService(u16),
+    Counter,
+}
+
+impl End {
+    pub fn kind(self) -> Kind {
+        match self {
+            End::Clients => Kind::Clients,
+            End::Gateway(_) => Kind::Gateways,
+            End::PayServer(_) => Kind::PayServers,
+            End::ListService(_) => Kind::ListService,
+            End::Counter => Kind::Counter,
+        }
+    }
+
+    /// Of a kind's members by their numbers; `None` for kinds that have none here.
+    fn of(kind: Kind, index: u32) -> Option<End> {
+        let index = u16::try_from(index).ok()?;
+        Some(match kind {
+            Kind::Clients => End::Clients,
+            Kind::Gateways => End::Gateway(index),
+            Kind::PayServers => End::PayServer(index),
+            Kind::ListService => End::ListService(index),
+            Kind::Counter => End::Counter,
+            Kind::Coordinators => return None,
+        })
+    }
+}
+
+impl Display for End {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            End::Clients | End::Counter => f.write_str(self.kind().name()),
+            End::Gateway(i) | End::PayServer(i) | End::ListService(i) => {
+                write!(f, "{}[{i}]", self.kind().name())
+            }
+        }
+    }
+}
+
+/// What chance is drawn for; each has a stream of its own, so that a draw more for one moves no other.
+#[derive(Clone, Copy)]
+pub enum Stream {
+    Deployment,
+    Faults,
+    Arrivals,
+    Servers,
+    Links,
+    Counter,
+}
+
+pub fn chance(seed: u64, stream: Stream) -> ChaCha8Rng {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(stream as u64 + 1);
+    rng
+}
+
+/// A client firm: its plan, how much it asks, and through which gateways.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Customer {
+    pub id: u64,
+    pub plan: usize,
+    /// Its requests, as a share of all.
+    pub weight: f64,
+    pub first: u16,
+    /// How its requests are spread over the gateways from `first` on; as many as its set has.
+    pub spread: Vec<f64>,
+}
+
+/// A plan's figures, scaled to the load.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Quota {
+    pub name: String,
+    pub rate: f64,
+    pub burst: f64,
+    pub price: f64,
+    pub over_cost: f64,
+    pub open: u32,
+    pub ceiling_rate: f64,
+    pub ceiling_depth: f64,
+    pub ceiling_slack: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct PayServer {
+    pub id: String,
+    pub zone: usize,
+    pub cell: u32,
+    pub speed: f64,
+}
+
+/// A fault with its victims drawn.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Drawn {
+    pub kind: FaultKind,
+    pub at: Nanos,
+    /// When it is undone, if it ever is.
+    pub until: Option<Nanos>,
+    pub victims: Vec<End>,
+    /// The other side of a fault of links; empty: all others.
+    pub from: Vec<End>,
+    pub one_way: bool,
+    pub reset: bool,
+    pub delay: Nanos,
+    pub jitter: Nanos,
+    pub probability: f64,
+}
+
+/// All that is drawn.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Deployment {
+    pub customers: Vec<Customer>,
+    pub quotas: Vec<Quota>,
+    pub servers: Vec<PayServer>,
+    /// The seed of each gateway's first start.
+    pub gateway_seeds: Vec<u64>,
+    pub faults: Vec<Drawn>,
+}
+
+/// Classes by number.
+pub const SAFE: u8 = 0;
+pub const UNSAFE: u8 = 1;
+pub const CLASSES: [&str; 2] = ["payslip-read", "pay-run-submit"];
+
+/// A request is tried at four servers at the most.
+pub const ATTEMPTS_MOST: u32 = 4;
+pub const DRAIN_GRACE: Nanos = 500 * MS;
+/// Limits that the rules give are this much longer on sockets.
+pub const SOCKET_SLACK: Nanos = 50 * MS;
+pub const METER_PERIOD: Nanos = 500 * MS;
+
+impl Deployment {
+    /// Draws; the error names the field of faults that contradict each other.
+    pub fn draw(scenario: &Scenario, seed: u64) -> Result<Deployment, String> {
+        let mut rng = chance(seed, Stream::Deployment);
+        let site = &scenario.site;
+        let (customers, quotas) = customers(scenario, &mut rng);
+        let servers = (0..scenario.fleet.pay_servers as usize)
+            .map(|i| PayServer {
+                id: format!("s-{:08x}", rng.random::<u32>()),
+                zone: i % scenario.fleet.zones.len(),
+                cell: (i / 4) as u32,
+                speed: spread(site.speed, site.speed_cv, &mut rng),
+            })
+            .collect();
+        let gateway_seeds = (0..scenario.fleet.gateways).map(|_| rng.random()).collect();
+        let faults = faults(scenario, &mut chance(seed, Stream::Faults))?;
+        Ok(Deployment { customers, quotas, servers, gateway_seeds, faults })
+    }
+
+    /// When the last fault is over: undone, or done where it is for good.
+    pub fn faults_over(&self) -> Option<Nanos> {
+        self.faults.iter().map(|fault| fault.until.unwrap_or(fault.at)).max()
+    }
+
+    /// The settings object of a gateway, as the published pages have it.
+    pub fn settings(&self, scenario: &Scenario, gateway: u16) -> Value {
+        let site = &scenario.site;
+        let ns = |ms: u64| ms * MS;
+        let profile = |name: &str, effect: &str, worth: f64| {
+            json!({"Name": name, "Aim": ns(site.aim_ms), "Deadline": ns(site.deadline_ms), "Effect": effect, "Group": "all",
+                "Importance": worth, "KeyTtl": 0, "LateValue": 0.0, "Stream": false})
+        };
+        let plans: Vec<Value> = self
+            .quotas
+            .iter()
+            .map(|quota| {
+                json!({"Name": quota.name, "Rate": quota.rate, "Burst": quota.burst, "AtOnce": quota.open,
+                    "NeverOverRate": quota.ceiling_rate, "NeverOverDepth": quota.ceiling_depth,
+                    "CapSlack": quota.ceiling_slack, "ValueFactor": quota.price, "OverCost": quota.over_cost,
+                    "OverWorth": 0.0})
+            })
+            .collect();
+        json!({
+            "FleetSize": scenario.fleet.gateways, "Me": gateway,
+            "Zone": usize::from(gateway) % scenario.fleet.zones.len(),
+            "Dcs": scenario.fleet.zones, "Kinds": ["std-2core"], "Tick": 4 * MS, "Discovery": "push",
+            "Profiles": [profile(CLASSES[0], "read_like", 3.0), profile(CLASSES[1], "non_idempotent", 2.0)],
+            "Plans": plans,
+            "Domain": {"SharedCounter": scenario.fleet.counter, "CountWait": 30 * MS, "CallPrice": 0.01,
+                "Metering": METER_PERIOD, "UnitsTop": 1, "PostPaid": false, "InboxPerS": 0.0},
+            "Limits": {"Cancel": true, "ConnIdle": 15 * SECOND, "ConnectTimeout": 250 * MS,
+                "MaxAttempts": ATTEMPTS_MOST, "MaxRetryAfter": 500 * MS, "MostHeld": 20_000, "Peers": false, "Probes": true,
+                "RetryAfter": true, "SecondCopies": false, "StreamsPerConn": 1},
+            "Rules": {"AnswerSlack": 16 * MS, "AskEvery": 10 * SECOND, "ColdFrom": site.cold_from,
+                "DrainGrace": DRAIN_GRACE, "Fall": ns(site.fall_ms), "OverloadFactor": site.fall_multiple,
+                "RampTime": ns(site.cold_ms)},
+            "Fees": {"CrossZone": 0.01, "Probe": 0.01, "Waste": 0.08, "LateFail": 0.03},
+            "Clients": {"MarksRetry": true}, "Report": {"Fields": [], "How": "off"}
+        })
+    }
+}
+
+/// A positive figure about a mean.
+pub fn spread(mean: f64, cv: f64, rng: &mut impl Rng) -> f64 {
+    if cv <= 0.0 {
+        return mean;
+    }
+    let shape = 1.0 / (cv * cv);
+    // Parameters are positive, as the scenario's bounds see to.
+    Gamma::new(shape, mean / shape).map_or(mean, |gamma| gamma.sample(rng).max(mean * 1e-3))
+}
+
+/// Customers of each plan, as many as give it its share of the use; then quotas are scaled so that the load is what these
+/// customers ask for.
+fn customers(scenario: &Scenario, rng: &mut ChaCha8Rng) -> (Vec<Customer>, Vec<Quota>) {
+    let (site, load, gateways) = (&scenario.site, &scenario.load, scenario.fleet.gateways as usize);
+    let needed: Vec<f64> = site.plans.iter().map(|plan| plan.share / plan.rate).collect();
+    let all: f64 = needed.iter().sum();
+    let mut customers = Vec::new();
+    let mut passed = 0.0;
+    for (plan, need) in needed.iter().enumerate() {
+        passed += need / all;
+        let upto = (passed * f64::from(load.customers)).round() as usize;
+        while customers.len() < upto {
+            // Most stay well under their quota, some use nearly all of it, a few ask for far more.
+            let use_of_quota = match rng.random::<f64>() {
+                x if x < 0.70 => rng.random_range(0.16..0.36),
+                x if x < 0.91 => rng.random_range(0.8..0.95),
+                _ => rng.random_range(1.5..3.0),
+            };
+            let most = if gateways <= 4 { 4 } else { 9 };
+            let size = rng.random_range(2..=most).min(gateways);
+            customers.push(Customer {
+                id: rng.random_range(0..1u64 << 33),
+                plan,
+                weight: use_of_quota * site.plans[plan].rate,
+                first: rng.random_range(0..gateways) as u16,
+                spread: (0..size).map(|_| rng.random_range(0.05f64..1.0).powf(site.skew)).collect(),
+            });
+        }
+    }
+    let asked: f64 = customers.iter().map(|customer| customer.weight).sum();
+    let scale = load.rate / asked;
+    customers.iter_mut().for_each(|customer| customer.weight /= asked);
+    customers.shuffle(rng);
+    let quotas = site.plans.iter().map(|plan| {
+        let rate = plan.rate * scale;
+        // A plan too small for a burst of one request could never be served.
+        let burst = (rate * plan.burst_s).max(1.0);
+        let depth = if plan.ceiling > 0.0 { (rate * plan.ceiling * 1.3).max(2.0) } else { 0.0 };
+        Quota {
+            name: plan.name.clone(),
+            rate,
+            burst,
+            price: plan.price,
+            over_cost: plan.over_cost,
+            open: if plan.open == 0 { 0 } else { (f64::from(plan.open) * scale).ceil().max(2.0) as u32 },
+            ceiling_rate: rate * plan.ceiling,
+            ceiling_depth: depth,
+            ceiling_slack: if depth > 0.0 { (depth * 0.1).max(1.0) } else { 0.0 },
+        }
+    });
+    (customers, quotas.collect())
+}
+
+fn faults(scenario: &Scenario, rng: &mut ChaCha8Rng) -> Result<Vec<Drawn>, String> {
+    let mut drawn: Vec<Drawn> = Vec::new();
+    // Until when each is down or stopped, and by which fault.
+    let mut held: BTreeMap<End, Vec<(Nanos, Nanos, usize)>> = BTreeMap::new();
+    for (i, fault) in scenario.faults.iter().enumerate() {
+        let victims = members(scenario, &fault.target);
+        let count = match (fault.share, fault.count) {
+            (Some(share), _) => (share * victims.len() as f64).round() as usize,
+            (_, Some(count)) => count as usize,
+            _ => victims.len(),
+        };
+        let mut chosen: Vec<End> =
+            index::sample(rng, victims.len(), count.min(victims.len())).iter().map(|k| victims[k]).collect();
+        chosen.sort_unstable();
+        let at = fault.at_ms * MS;
+        // A restart has its process back at once, or after the time that is named.
+        let back = matches!(fault.kind, FaultKind::Restart | FaultKind::Wipe);
+        let until = fault.for_ms.map(|ms| at + ms * MS).or(back.then_some(at));
+        if !fault.kind.of_links() && fault.kind != FaultKind::FullDisk {
+            for &victim in &chosen {
+                let spans = held.entry(victim).or_default();
+                let end = until.unwrap_or(Nanos::MAX).max(at + 1);
+                if let Some((.., other)) = spans.iter().find(|(a, b, _)| *a < end && at < *b) {
+                    return Err(format!(
+                        "fault[{i}].target: {victim} is held by fault[{other}] at that time"
+                    ));
+                }
+                spans.push((at, end, i));
+            }
+        }
+        drawn.push(Drawn {
+            kind: fault.kind,
+            at,
+            until,
+            victims: chosen,
+            from: fault.from.as_ref().map_or_else(Vec::new, |from| members(scenario, from)),
+            one_way: fault.one_way,
+            reset: fault.reset,
+            delay: fault.delay_ms.unwrap_or(if fault.kind == FaultKind::Delay { 100 } else { 0 }) * MS,
+            jitter: fault.jitter_ms.unwrap_or(0) * MS,
+            probability: probability(fault),
+        });
+    }
+    Ok(drawn)
+}
+
+fn probability(fault: &Fault) -> f64 {
+    let usual = if matches!(fault.kind, FaultKind::Lose | FaultKind::Duplicate) { 0.3 } else { 0.0 };
+    fault.probability.unwrap_or(usual)
+}
+
+fn members(scenario: &Scenario, target: &Target) -> Vec<End> {
+    match target {
+        Target::All(kind) => (0..scenario.count(*kind)).filter_map(|i| End::of(*kind, i)).collect(),
+        Target::One(kind, index) => End::of(*kind, *index).into_iter().collect(),
+        // The scenario was refused: nothing in this build owns anything.
+        Target::Owner(_) => Vec::new(),
+    }
+}
--- /dev/null
+++ b/lab/src/draw.rs
@@ -0,0 +1,343 @@
+//! A scenario drawn from a site file's ranges: the operators publish their sites as ranges, and each seed is another day.
+//!
+//! Keys that the lab has no use for are passed over, as the file is the operators' and not the lab's; a range that is upside
+//! down, or not a number where one is needed, is refused with its name.
+
+use crate::deployment::{chance, Stream};
+use crate::scenario::{Expect, Fault, FaultKind, Kind, Plan, Scenario, Target};
+use rand::seq::IndexedRandom;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+
+/// A figure: fixed, or drawn from a range.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(untagged)]
+enum Range {
+    Fixed(f64),
+    Between([f64; 2]),
+}
+
+#[derive(Deserialize)]
+struct SiteFile {
+    day: Day,
+    scale: Scale,
+    load: Loads,
+    net: Net,
+    front: Front,
+    clients: Clients,
+    discovery: Discovery,
+    tier: Vec<Tier>,
+    class: Vec<Class>,
+    tenant: Vec<Tenant>,
+    fam: Family,
+    #[serde(default)]
+    rules: Rules,
+    #[serde(default)]
+    trouble: Vec<Trouble>,
+}
+
+#[derive(Deserialize)]
+struct Day {
+    length_s: Range,
+    troubles: Range,
+}
+
+#[derive(Deserialize)]
+struct Scale {
+    servers: Range,
+    balancers: Range,
+}
+
+/// Shares of what the fleet can do.
+#[derive(Deserialize)]
+struct Loads {
+    quiet: Range,
+    trouble: Range,
+}
+
+#[derive(Deserialize)]
+struct Net {
+    #[serde(default)]
+    zones: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Front {
+    notice_s: Range,
+}
+
+#[derive(Deserialize)]
+struct Clients {
+    retries: Range,
+    try_share: Range,
+    honour: Range,
+    backoff_ms: Range,
+}
+
+#[derive(Deserialize)]
+struct Discovery {
+    notice_s: Range,
+    add_s: Range,
+}
+
+#[derive(Deserialize)]
+struct Rules {
+    fall_multiple: f64,
+    fall_ms: f64,
+}
+
+impl Default for Rules {
+    fn default() -> Rules {
+        Rules { fall_multiple: 2.0, fall_ms: 3000.0 }
+    }
+}
+
+#[derive(Deserialize)]
+struct Tier {
+    kind: Vec<MachineKind>,
+    conn: Connections,
+}
+
+#[derive(Deserialize)]
+struct Connections {
+    handshake_us: Range,
+    cap_per_core: Range,
+}
+
+#[derive(Deserialize)]
+struct MachineKind {
+    cores: f64,
+    speed: Range,
+    speed_cv: Range,
+    slots_per_core: Range,
+    queue_per_core: Range,
+    thrash: Range,
+    thrash_at: Range,
+    cold_from: Range,
+    cold_s: Range,
+    error_rate: Range,
+    #[serde(default)]
+    cancel: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Class {
+    name: String,
+    share: Range,
+    work_ms: Range,
+    cv: Range,
+    aim_ms: f64,
+    deadline_ms: f64,
+    effect: String,
+}
+
+#[derive(Deserialize)]
+struct Tenant {
+    name: String,
+    share: Range,
+}
+
+#[derive(Deserialize)]
+struct Family {
+    #[serde(default)]
+    skew: Option<Range>,
+    #[serde(default)]
+    counter: bool,
+    #[serde(default)]
+    counter_per_s: Option<Range>,
+    #[serde(default)]
+    meter_late_ms: Option<Range>,
+    plan: Vec<FamilyPlan>,
+}
+
+#[derive(Deserialize)]
+struct FamilyPlan {
+    rate: Range,
+    burst_s: Range,
+    price: f64,
+    over_cost: f64,
+    #[serde(default)]
+    open: Option<Range>,
+    #[serde(default)]
+    ceiling: Option<Range>,
+}
+
+#[derive(Deserialize)]
+struct Trouble {
+    name: String,
+    #[serde(default)]
+    len_s: Option<Range>,
+    #[serde(default)]
+    part: Option<Range>,
+    #[serde(default)]
+    size: Option<Range>,
+    #[serde(default)]
+    weight: Option<f64>,
+}
+
+/// Draws from ranges, and tells by name which one cannot be drawn from.
+struct Draws {
+    rng: ChaCha8Rng,
+}
+
+impl Draws {
+    fn of(&mut self, name: &str, range: Range) -> Result<f64, String> {
+        let [least, most] = match range {
+            Range::Fixed(value) => [value, value],
+            Range::Between(both) => both,
+        };
+        match least <= most && least.is_finite() && most.is_finite() {
+            true => Ok(least + (most - least) * self.rng.random::<f64>()),
+            false => Err(format!("{name}: [{least}, {most}] is upside down")),
+        }
+    }
+
+    fn maybe(&mut self, name: &str, range: Option<Range>, usual: f64) -> Result<f64, String> {
+        range.map_or(Ok(usual), |range| self.of(name, range))
+    }
+
+    fn whole(&mut self, name: &str, range: Range) -> Result<u64, String> {
+        Ok(self.of(name, range)?.floor().max(0.0) as u64)
+    }
+}
+
+/// A scenario as a file's text; the error is one line that names the field.
+pub fn draw(text: &str, seed: u64) -> Result<String, String> {
+    let site: SiteFile = toml::from_str(text).map_err(|e| {
+        let line = e.span().map_or(1, |span| text[..span.start].matches('\n').count() + 1);
+        format!("line {line}: {}", e.message().replace('\n', " "))
+    })?;
+    let mut draws = Draws { rng: chance(seed, Stream::Deployment) };
+    let scenario = scenario(&site, &mut draws)?;
+    let text = toml::to_string(&scenario).map_err(|e| e.to_string())?;
+    // What is drawn must be what the lab takes.
+    Scenario::parse(&text)?;
+    Ok(format!("# Drawn with seed {seed}.\n{text}"))
+}
+
+fn scenario(site: &SiteFile, draws: &mut Draws) -> Result<Scenario, String> {
+    let mut drawn = Scenario::default();
+    let tier = site.tier.first().ok_or("tier: the site has none")?;
+    let machine = tier.kind.first().ok_or("tier.kind: the tier has none")?;
+    let safe =
+        site.class.iter().find(|class| class.effect == "safe").ok_or("class: none is safe to repeat")?;
+    let unsafe_class = site.class.iter().find(|class| class.effect == "unsafe");
+    let unsafe_class = unsafe_class.ok_or("class: none must never run twice")?;
+
+    let figures = &mut drawn.site;
+    figures.work_ms = draws.of(&format!("class {}.work_ms", safe.name), safe.work_ms)?;
+    figures.work_cv = draws.of(&format!("class {}.cv", safe.name), safe.cv)?;
+    figures.aim_ms = safe.aim_ms as u64;
+    figures.deadline_ms = safe.deadline_ms as u64;
+    figures.try_share = draws.of("clients.try_share", site.clients.try_share)?;
+    figures.backoff_ms = draws.whole("clients.backoff_ms", site.clients.backoff_ms)?;
+    figures.honour = draws.of("clients.honour", site.clients.honour)?;
+    figures.notice_ms = (draws.of("front.notice_s", site.front.notice_s)? * 1000.0) as u64;
+    figures.speed = draws.of("tier.kind.speed", machine.speed)? * machine.cores / 2.0;
+    figures.speed_cv = draws.of("tier.kind.speed_cv", machine.speed_cv)?;
+    figures.slots_per_core = draws.whole("tier.kind.slots_per_core", machine.slots_per_core)?.max(1) as u32;
+    figures.queue_per_core = draws.whole("tier.kind.queue_per_core", machine.queue_per_core)? as u32;
+    figures.thrash = draws.of("tier.kind.thrash", machine.thrash)?;
+    figures.thrash_at = draws.of("tier.kind.thrash_at", machine.thrash_at)?;
+    figures.error_rate = draws.of("tier.kind.error_rate", machine.error_rate)?;
+    figures.drops_queued = machine.cancel.choose(&mut draws.rng).is_some_and(|way| way == "queued");
+    figures.cold_from = draws.of("tier.kind.cold_from", machine.cold_from)?;
+    figures.cold_ms = (draws.of("tier.kind.cold_s", machine.cold_s)? * 1000.0) as u64;
+    figures.fall_multiple = site.rules.fall_multiple;
+    figures.fall_ms = site.rules.fall_ms as u64;
+    figures.connections_per_core = draws.whole("tier.conn.cap_per_core", tier.conn.cap_per_core)? as u32;
+    figures.handshake_us = draws.whole("tier.conn.handshake_us", tier.conn.handshake_us)?;
+    figures.meter_late_ms = draws.maybe("fam.meter_late_ms", site.fam.meter_late_ms, 800.0)? as u64;
+    figures.list_notice_ms = (draws.of("discovery.notice_s", site.discovery.notice_s)? * 1000.0) as u64;
+    figures.list_add_ms = (draws.of("discovery.add_s", site.discovery.add_s)? * 1000.0) as u64;
+    figures.counter_per_s = draws.maybe("fam.counter_per_s", site.fam.counter_per_s, 640.0)?;
+    figures.skew = draws.maybe("fam.skew", site.fam.skew, 0.7)?;
+    if site.tenant.len() != site.fam.plan.len() {
+        return Err("fam.plan: there are not as many as tenants".to_owned());
+    }
+    let mut plans = Vec::new();
+    for (tenant, plan) in site.tenant.iter().zip(&site.fam.plan) {
+        let name = format!("fam.plan {}", tenant.name);
+        plans.push(Plan {
+            name: tenant.name.clone(),
+            share: draws.of(&format!("tenant {}.share", tenant.name), tenant.share)?,
+            rate: draws.of(&format!("{name}.rate"), plan.rate)?,
+            burst_s: draws.of(&format!("{name}.burst_s"), plan.burst_s)?,
+            price: plan.price,
+            over_cost: plan.over_cost,
+            open: draws.maybe(&format!("{name}.open"), plan.open, 0.0)? as u32,
+            ceiling: draws.maybe(&format!("{name}.ceiling"), plan.ceiling, 0.0)?,
+        });
+    }
+    figures.plans = plans;
+
+    let fleet = &mut drawn.fleet;
+    fleet.gateways = draws.whole("scale.balancers", site.scale.balancers)? as u32;
+    fleet.pay_servers = draws.whole("scale.servers", site.scale.servers)? as u32;
+    fleet.counter = site.fam.counter;
+    if !site.net.zones.is_empty() {
+        fleet.zones = site.net.zones.clone();
+    }
+    let troubled = draws.whole("day.troubles", site.day.troubles)?.min(site.trouble.len() as u64);
+    let (name, busy) =
+        if troubled == 0 { ("load.quiet", site.load.quiet) } else { ("load.trouble", site.load.trouble) };
+    let share = draws.of(name, busy)?;
+    let both = 2.0 * f64::from(fleet.pay_servers) * drawn.site.speed;
+    let load = &mut drawn.load;
+    load.rate = (both * share / (drawn.site.work_ms / 1000.0) * 10.0).round() / 10.0;
+    load.duration_ms = (draws.of("day.length_s", site.day.length_s)? * 1000.0) as u64;
+    load.customers = (load.rate * 0.7).ceil().max(1.0) as u32;
+    let unsafe_share = draws.of(&format!("class {}.share", unsafe_class.name), unsafe_class.share)?;
+    let safe_share = draws.of(&format!("class {}.share", safe.name), safe.share)?;
+    load.unsafe_share = unsafe_share / (unsafe_share + safe_share);
+    load.retries = draws.whole("clients.retries", site.clients.retries)? as u32;
+
+    // Each trouble has a part of the day of its own, so that none contradicts another.
+    let mut names: Vec<&Trouble> = site.trouble.iter().collect();
+    for i in 0..troubled {
+        let at = (load.duration_ms as f64 * (0.2 + 0.7 * i as f64 / troubled as f64)) as u64;
+        let most = (load.duration_ms as f64 * 0.6 / troubled as f64) as u64;
+        let weights = names.choose_weighted(&mut draws.rng, |trouble| trouble.weight.unwrap_or(1.0));
+        let trouble = *weights.map_err(|e| format!("trouble.weight: {e}"))?;
+        names.retain(|other| !std::ptr::eq(*other, trouble));
+        drawn.faults.extend(fault(trouble, at, most, draws)?);
+    }
+    drawn.expect = None::<Expect>;
+    Ok(drawn)
+}
+
+/// The fault that a trouble of the site comes to; none where the trouble is in the load and not between processes.
+fn fault(trouble: &Trouble, at_ms: u64, most: u64, draws: &mut Draws) -> Result<Option<Fault>, String> {
+    let name = |field: &str| format!("trouble {}.{field}", trouble.name);
+    let length = draws.maybe(&name("len_s"), trouble.len_s, 2.0)?;
+    let part = draws.maybe(&name("part"), trouble.part, 0.3)?;
+    let size = draws.maybe(&name("size"), trouble.size, 1.0)?;
+    let for_ms = ((length * 1000.0) as u64).clamp(100, most.max(100));
+    let fault = |kind, target, share: Option<f64>, for_ms| Fault {
+        at_ms,
+        kind,
+        target: Target::All(target),
+        share,
+        count: None,
+        from: None,
+        one_way: false,
+        for_ms: Some(for_ms),
+        reset: false,
+        delay_ms: None,
+        jitter_ms: None,
+        probability: None,
+    };
+    Ok(match trouble.name.as_str() {
+        "balancer_crash" => Some(fault(FaultKind::Kill, Kind::Gateways, Some(part), for_ms)),
+        "pauses" => Some(fault(
+            FaultKind::Stop,
+            Kind::PayServers,
+            Some(part),
+            (size as u64).clamp(50, 500).min(for_ms),
+        )),
+        "flush" => Some(Fault { for_ms: None, ..fault(FaultKind::Wipe, Kind::Counter, None, 1) }),
+        // More load from some customers is the load's matter, which the lab keeps steady.
+        _ => None,
+    })
+}
--- /dev/null
+++ b/lab/src/figures.rs
@@ -0,0 +1,364 @@
+//! What a run comes to in figures: goodput, latencies, calls, losses; from its history alone.
+
+use crate::deployment::{End, Nanos, MS, SECOND, UNSAFE};
+use crate::history::{At, Event, Outcome, Setup, Trace};
+use crate::judge::Finding;
+use crate::scenario::FaultKind;
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+/// Goodput is whole again at this share of what it was.
+const FULL: f64 = 0.95;
+/// ... over this long, looked at in steps of so much.
+const FULL_OVER: Nanos = 2 * SECOND;
+const STEP: Nanos = 100 * MS;
+/// The first moments of a load are no steady state.
+const SETTLING: Nanos = SECOND;
+/// Latencies are told up to here, in us.
+const LATENCY_MOST: u64 = 600_000_000;
+
+/// A run in figures; the last line of `run --json`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    pub scenario: String,
+    pub seed: u64,
+    /// What clients wanted, each with all its tries; the next five add up to it.
+    pub requests: u64,
+    pub served: u64,
+    pub refused: u64,
+    /// Answered as failed, not answered in the client's time, or no gateway could be reached.
+    pub failed: u64,
+    pub unknown: u64,
+    /// The connection ended after the gateway had taken it: the client does not know what became of it.
+    pub lost: u64,
+    pub ran_twice: u64,
+    /// Answers in their wanted time, a second: before the first fault, and after the last is over.
+    pub goodput_before: Option<f64>,
+    pub goodput_after: Option<f64>,
+    pub time_to_full_service_ms: Option<u64>,
+    /// Highest rate over steady rate; null without any.
+    pub peaks: BTreeMap<String, Option<f64>>,
+    pub invariants: BTreeMap<String, Option<bool>>,
+    /// Tries that a struck gateway had in hand, and those of them whose connection ended unanswered.
+    pub in_hand: u64,
+    pub in_hand_lost: u64,
+    /// Requests that must not run twice whose client was never told, and how many of them had run.
+    pub unsafe_lost: u64,
+    pub unsafe_lost_ran: u64,
+    /// Clients that were left without an answer, of all.
+    pub unanswered_share: f64,
+    /// Tries that met no listener.
+    pub unreachable_tries: u64,
+    pub fell: u64,
+    pub crashes: u64,
+    pub latency_ms: BTreeMap<String, f64>,
+    pub lab: Lab,
+}
+
+/// What the lab itself cost, and how late it was.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Lab {
+    pub events: u64,
+    /// How late requests left, in ms: 99.9% were no later.
+    pub late_p999_ms: f64,
+    pub late_most_ms: f64,
+    /// Processor seconds.
+    pub lab_cpu_s: f64,
+    pub fleet_cpu_s: f64,
+    pub wall_s: f64,
+}
+
+/// One second of the load.
+#[derive(Clone, Debug, Default)]
+pub struct Second {
+    pub good: u64,
+    pub late: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub lost: u64,
+    latencies: Vec<u64>,
+    pub calls: BTreeMap<&'static str, u64>,
+}
+
+impl Second {
+    /// A latency that this share of the second's served requests stayed under, in ms.
+    pub fn latency(&self, share: f64) -> Option<f64> {
+        let mut sorted = self.latencies.clone();
+        sorted.sort_unstable();
+        let at = ((sorted.len() as f64 * share).ceil() as usize).checked_sub(1)?;
+        sorted.get(at).map(|us| *us as f64 / 1e3)
+    }
+}
+
+/// Kinds of calls whose peaks are told.
+pub const CALLS: [&str; 6] = ["connections", "list_calls", "probes", "renewals", "claims", "attempts"];
+
+#[derive(Clone, Copy)]
+struct Open {
+    ask: u32,
+    gateway: u16,
+}
+
+/// Takes a history, event by event.
+#[derive(Default)]
+pub struct Figures {
+    setup: Option<Box<Setup>>,
+    asks: HashMap<u32, (Nanos, u8)>,
+    open: HashMap<Trace, Open>,
+    in_hand: HashSet<Trace>,
+    attempts: HashMap<u64, Trace>,
+    ran: HashSet<Trace>,
+    /// Requests whose last connection ended unanswered, by their last id.
+    unsafe_lost: Vec<Trace>,
+    last: HashMap<u32, Trace>,
+    good: Vec<Nanos>,
+    seconds: Vec<Second>,
+    began: Vec<(u16, Nanos)>,
+    over: Vec<(u16, Nanos)>,
+    lateness: Option<Histogram<u64>>,
+    latency: Option<Histogram<u64>>,
+    counts: [u64; 5],
+    in_hand_all: u64,
+    in_hand_lost: u64,
+    unanswered: u64,
+    unreachable: u64,
+    fell: u64,
+    crashes: u64,
+    lab: Lab,
+}
+
+fn histogram() -> Option<Histogram<u64>> {
+    // The bounds are constants that the crate takes.
+    Histogram::new_with_bounds(1, LATENCY_MOST, 3).ok()
+}
+
+impl Figures {
+    pub fn new() -> Figures {
+        Figures { lateness: histogram(), latency: histogram(), ..Figures::default() }
+    }
+
+    fn second(&mut self, at: Nanos) -> Option<&mut Second> {
+        let from = self.setup.as_ref()?.load_from;
+        let index = usize::try_from(at.checked_sub(from)? / SECOND).ok()?;
+        if index >= self.seconds.len() {
+            self.seconds.resize_with(index + 1, Second::default);
+        }
+        self.seconds.get_mut(index)
+    }
+
+    fn call(&mut self, at: Nanos, name: &'static str) {
+        self.second(at).into_iter().for_each(|second| *second.calls.entry(name).or_default() += 1);
+    }
+
+    pub fn take(&mut self, At { at, event }: &At) {
+        let at = *at;
+        self.lab.events += 1;
+        match event {
+            Event::Setup(setup) => self.setup = Some(setup.clone()),
+            Event::Asked { ask, class, late, .. } => {
+                self.asks.insert(*ask, (at, *class));
+                self.lateness
+                    .iter_mut()
+                    .for_each(|lateness| lateness.saturating_record((late / 1000).max(1)));
+            }
+            Event::Tried { ask, trace, gateway, .. } => {
+                self.last.insert(*ask, *trace);
+                self.open.insert(*trace, Open { ask: *ask, gateway: *gateway });
+                self.call(at, "tries");
+            }
+            Event::Ended { trace, outcome } => self.ended(*trace, *outcome),
+            Event::AskEnded { ask, outcome } => self.ask_ended(at, *ask, *outcome),
+            Event::Arrived { attempt, trace, .. } => {
+                self.attempts.insert(*attempt, *trace);
+                self.call(at, "attempts");
+            }
+            Event::Ran { attempt } => {
+                self.ran.extend(self.attempts.get(attempt));
+            }
+            Event::Opened { from: End::Gateway(_), to: End::PayServer(_), .. } => {
+                self.call(at, "connections")
+            }
+            Event::Probed { .. } => self.call(at, "probes"),
+            Event::ListAsked { .. } => self.call(at, "list_calls"),
+            Event::Renewed { .. } => self.call(at, "renewals"),
+            Event::Counted { .. } => self.call(at, "counts"),
+            Event::Fell { .. } => self.fell += 1,
+            Event::Lived { life: crate::history::Life::Crashed, .. } => self.crashes += 1,
+            Event::FaultBegan { fault } => self.fault_began(at, *fault),
+            Event::FaultOver { fault } => self.over.push((*fault, at)),
+            Event::Finished { lab_cpu, fleet_cpu } => {
+                let s = |nanos: Nanos| nanos as f64 / SECOND as f64;
+                self.lab.lab_cpu_s = s(*lab_cpu);
+                self.lab.fleet_cpu_s = s(*fleet_cpu);
+                self.lab.wall_s = s(at);
+            }
+            _ => {}
+        }
+    }
+
+    fn ended(&mut self, trace: Trace, outcome: Outcome) {
+        self.open.remove(&trace);
+        if self.in_hand.remove(&trace) && matches!(outcome, Outcome::Reset { .. }) {
+            self.in_hand_lost += 1;
+        }
+        self.unreachable += u64::from(outcome == Outcome::Unreachable);
+    }
+
+    fn ask_ended(&mut self, at: Nanos, ask: u32, outcome: Outcome) {
+        let Some((asked, class)) = self.asks.remove(&ask) else { return };
+        let last = self.last.remove(&ask);
+        let aim = self.setup.as_ref().map_or(0, |setup| setup.aim);
+        let latency = at - asked;
+        let which = match outcome {
+            Outcome::Served { .. } => 0,
+            Outcome::Refused => 1,
+            Outcome::Failed | Outcome::TimedOut | Outcome::Unreachable => 2,
+            Outcome::Unknown => 3,
+            Outcome::Reset { .. } => 4,
+        };
+        self.counts[which] += 1;
+        let unanswered = matches!(outcome, Outcome::Reset { .. } | Outcome::TimedOut | Outcome::Unreachable);
+        self.unanswered += u64::from(unanswered);
+        if class == UNSAFE && unanswered && outcome != Outcome::Unreachable {
+            self.unsafe_lost.extend(last);
+        }
+        if which == 0 {
+            self.latency.iter_mut().for_each(|h| h.saturating_record((latency / 1000).max(1)));
+            if latency <= aim {
+                self.good.push(at);
+            }
+        }
+        if let Some(second) = self.second(at) {
+            match which {
+                0 if latency <= aim => second.good += 1,
+                0 => second.late += 1,
+                1 => second.refused += 1,
+                2 | 3 => second.failed += 1,
+                _ => second.lost += 1,
+            }
+            if which == 0 {
+                second.latencies.push(latency / 1000);
+            }
+        }
+    }
+
+    fn fault_began(&mut self, at: Nanos, number: u16) {
+        self.began.push((number, at));
+        let Some(fault) = self.setup.as_ref().and_then(|setup| setup.faults.get(usize::from(number))) else {
+            return;
+        };
+        if fault.kind.of_links() || fault.kind == FaultKind::FullDisk {
+            return;
+        }
+        let struck: HashSet<End> = fault.victims.iter().copied().collect();
+        let held = self.open.iter().filter(|(_, open)| {
+            struck.contains(&End::Gateway(open.gateway)) && self.asks.contains_key(&open.ask)
+        });
+        let held: Vec<Trace> = held.map(|(trace, _)| *trace).collect();
+        self.in_hand_all += held.len() as u64;
+        self.in_hand.extend(held);
+    }
+
+    /// The seconds of the load, and when faults began and were over, in seconds of it.
+    pub fn seconds(&self) -> &[Second] {
+        &self.seconds
+    }
+
+    pub fn setup(&self) -> Option<&Setup> {
+        self.setup.as_deref()
+    }
+
+    /// Begin and end of each fault, in seconds of the load; without an end where it is for good.
+    pub fn marks(&self) -> Vec<(u16, f64, Option<f64>)> {
+        let Some(setup) = &self.setup else { return Vec::new() };
+        let second = |at: Nanos| at.saturating_sub(setup.load_from) as f64 / SECOND as f64;
+        let over = |fault: u16| {
+            let lasts = setup.faults.get(usize::from(fault)).is_some_and(|fault| fault.until.is_none());
+            self.over.iter().find(|(of, _)| *of == fault && !lasts).map(|(_, at)| second(*at))
+        };
+        self.began.iter().map(|(fault, at)| (*fault, second(*at), over(*fault))).collect()
+    }
+
+    /// Good answers a second within these instants.
+    fn goodput(&self, from: Nanos, to: Nanos) -> Option<f64> {
+        let count = self.good.partition_point(|at| *at < to) - self.good.partition_point(|at| *at < from);
+        (to >= from + SECOND).then(|| count as f64 * SECOND as f64 / (to - from) as f64)
+    }
+
+    pub fn summary(mut self, findings: &BTreeMap<&'static str, Finding>) -> Option<Summary> {
+        let setup = self.setup.clone()?;
+        self.good.sort_unstable();
+        let (from, to) = (setup.load_from, setup.load_from + setup.duration);
+        let first = self.began.iter().map(|(_, at)| *at).min();
+        let over = self.over.iter().map(|(_, at)| *at).max();
+        let steady_to = first.unwrap_or(to);
+        let before = self.goodput(from + SETTLING, steady_to);
+        let after = over.and_then(|over| self.goodput(over, to));
+        let full = over.zip(before).and_then(|(over, before)| {
+            let windows = (0..).map(|i| over + i * STEP).take_while(|at| at + FULL_OVER <= to);
+            let mut whole = windows.filter(|at| {
+                self.goodput(*at, at + FULL_OVER).is_some_and(|goodput| goodput >= FULL * before)
+            });
+            whole.next().map(|at| (at - over) / MS)
+        });
+        let steady_seconds = usize::try_from((steady_to - from) / SECOND).unwrap_or(0);
+        let peaks = CALLS.iter().map(|name| {
+            let rates: Vec<f64> = self
+                .seconds
+                .iter()
+                .take((setup.duration / SECOND) as usize)
+                .map(|second| second.calls.get(name).copied().unwrap_or(0) as f64)
+                .collect();
+            let calm = rates.get(1..steady_seconds).filter(|calm| !calm.is_empty()).unwrap_or(&rates);
+            let steady = calm.iter().sum::<f64>() / calm.len().max(1) as f64;
+            let later =
+                if first.is_some() { rates.get(steady_seconds..).unwrap_or_default() } else { &rates };
+            let highest = later.iter().copied().fold(0.0, f64::max);
+            let any = rates.iter().any(|rate| *rate > 0.0);
+            // Over less than one a second no ratio says anything.
+            ((*name).to_owned(), any.then(|| round(highest / steady.max(1.0))))
+        });
+        let peaks = peaks.collect();
+        let quantiles = |h: &Option<Histogram<u64>>, q: f64| {
+            h.as_ref().map_or(0.0, |h| round(h.value_at_quantile(q) as f64 / 1e3))
+        };
+        let latency_ms = [("p50", 0.5), ("p90", 0.9), ("p99", 0.99), ("p999", 0.999)];
+        let latency_ms =
+            latency_ms.iter().map(|(name, q)| ((*name).to_owned(), quantiles(&self.latency, *q))).collect();
+        self.lab.late_p999_ms = quantiles(&self.lateness, 0.999);
+        self.lab.late_most_ms = quantiles(&self.lateness, 1.0);
+        let requests = self.counts.iter().sum::<u64>() + self.asks.len() as u64;
+        Some(Summary {
+            scenario: setup.scenario.clone(),
+            seed: setup.seed,
+            requests,
+            served: self.counts[0],
+            refused: self.counts[1],
+            failed: self.counts[2],
+            unknown: self.counts[3],
+            lost: self.counts[4],
+            ran_twice: findings.get("never_ran_twice").map_or(0, |finding| finding.cases),
+            goodput_before: before.map(round),
+            goodput_after: after.map(round),
+            time_to_full_service_ms: full,
+            peaks,
+            invariants: findings.iter().map(|(name, f)| ((*name).to_owned(), f.holds)).collect(),
+            in_hand: self.in_hand_all,
+            in_hand_lost: self.in_hand_lost,
+            unsafe_lost: self.unsafe_lost.len() as u64,
+            unsafe_lost_ran: self.unsafe_lost.iter().filter(|trace| self.ran.contains(trace)).count() as u64,
+            unanswered_share: round(self.unanswered as f64 / requests.max(1) as f64),
+            unreachable_tries: self.unreachable,
+            fell: self.fell,
+            crashes: self.crashes,
+            latency_ms,
+            lab: self.lab,
+        })
+    }
+}
+
+/// To four digits behind the point: more would be noise.
+fn round(value: f64) -> f64 {
+    (value * 1e4).round() / 1e4
+}
--- /dev/null
+++ b/lab/src/link.rs
@@ -0,0 +1,149 @@
+//! What faults do to what lies between two ends: the rules in force, without I/O.
+
+use crate::deployment::{Drawn, End, Nanos, MS};
+use crate::scenario::FaultKind;
+use rand::Rng;
+use std::collections::BTreeSet;
+
+/// A segment that a stream loses is sent again by the system after about this time.
+const RETRANSMISSION: Nanos = 200 * MS;
+
+/// The way from one end to another, at this moment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Path {
+    /// What is sent arrives.
+    pub open: bool,
+    /// New connections may come up: a process that stands still has a system that answers for it.
+    pub connects: bool,
+    /// Connections are reset.
+    pub reset: bool,
+    pub delay: Nanos,
+    pub jitter: Nanos,
+    pub loss: f64,
+    pub duplicates: f64,
+}
+
+impl Path {
+    pub const CLEAR: Path =
+        Path { open: true, connects: true, reset: false, delay: 0, jitter: 0, loss: 0.0, duplicates: 0.0 };
+
+    /// How much later a piece of a stream arrives: it is delayed, and what is lost is sent again.
+    pub fn stream_delay(&self, rng: &mut impl Rng) -> Nanos {
+        let lost = self.loss > 0.0 && rng.random::<f64>() < self.loss;
+        self.shifted(rng) + if lost { RETRANSMISSION } else { 0 }
+    }
+
+    /// When a datagram's copies arrive, counted from now: none, one or two, each with a delay of its own, so that they may
+    /// change places with others.
+    pub fn datagram(&self, rng: &mut impl Rng) -> Vec<Nanos> {
+        let lost = !self.open || (self.loss > 0.0 && rng.random::<f64>() < self.loss);
+        let twice = self.duplicates > 0.0 && rng.random::<f64>() < self.duplicates;
+        let copies = if lost { 0 } else { 1 + usize::from(twice) };
+        (0..copies).map(|_| self.shifted(rng)).collect()
+    }
+
+    fn shifted(&self, rng: &mut impl Rng) -> Nanos {
+        self.delay + if self.jitter > 0 { rng.random_range(0..=self.jitter) } else { 0 }
+    }
+}
+
+/// Faults of links in force, and the stand-ins that stand still.
+#[derive(Default)]
+pub struct Rules {
+    active: Vec<(usize, Rule)>,
+    still: BTreeSet<End>,
+}
+
+struct Rule {
+    kind: FaultKind,
+    target: BTreeSet<End>,
+    /// Empty: all others.
+    from: BTreeSet<End>,
+    one_way: bool,
+    reset: bool,
+    delay: Nanos,
+    jitter: Nanos,
+    probability: f64,
+}
+
+impl Rule {
+    fn applies(&self, from: End, to: End) -> bool {
+        let other = |end: End| match self.from.is_empty() {
+            true => !self.target.contains(&end),
+            false => self.from.contains(&end),
+        };
+        (self.target.contains(&to) && other(from))
+            || (!self.one_way && self.target.contains(&from) && other(to))
+    }
+}
+
+impl Rules {
+    /// A fault of links begins; it has this number.
+    pub fn begin(&mut self, number: usize, fault: &Drawn) {
+        let rule = Rule {
+            kind: fault.kind,
+            target: fault.victims.iter().copied().collect(),
+            from: fault.from.iter().copied().collect(),
+            one_way: fault.one_way,
+            reset: fault.reset,
+            delay: fault.delay,
+            jitter: fault.jitter,
+            probability: fault.probability,
+        };
+        self.active.push((number, rule));
+    }
+
+    pub fn end(&mut self, number: usize) {
+        self.active.retain(|(of, _)| *of != number);
+    }
+
+    /// A stand-in stands still, or goes on.
+    pub fn stand_still(&mut self, end: End, still: bool) {
+        if still {
+            self.still.insert(end);
+        } else {
+            self.still.remove(&end);
+        }
+    }
+
+    /// The way from one end to another. Several faults add up.
+    pub fn path(&self, from: End, to: End) -> Path {
+        let mut path = Path::CLEAR;
+        if self.still.contains(&to) || self.still.contains(&from) {
+            path.open = false;
+        }
+        for (_, rule) in &self.active {
+            if !rule.applies(from, to) {
+                continue;
+            }
+            match rule.kind {
+                FaultKind::Cut => {
+                    path.open = false;
+                    path.connects = false;
+                    path.reset |= rule.reset;
+                }
+                FaultKind::Delay => {
+                    path.delay += rule.delay;
+                    path.jitter += rule.jitter;
+                }
+                FaultKind::Lose => path.loss = 1.0 - (1.0 - path.loss) * (1.0 - rule.probability),
+                FaultKind::Duplicate => path.duplicates = path.duplicates.max(rule.probability),
+                _ => {}
+            }
+        }
+        path
+    }
+
+    /// Whether a connection between the two may come up: both ways are needed.
+    pub fn connects(&self, from: End, to: End) -> bool {
+        self.path(from, to).connects && self.path(to, from).connects
+    }
+
+    pub fn reset(&self, from: End, to: End) -> bool {
+        self.path(from, to).reset || self.path(to, from).reset
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.active.is_empty() && self.still.is_empty()
+    }
+}
--- /dev/null
+++ b/lab/src/shell.rs
@@ -0,0 +1,122 @@
+//! The stand-ins, the links and the processes on real sockets: one thread, one runtime.
+
+pub mod address;
+pub mod clients;
+pub mod datagrams;
+pub mod lists;
+pub mod pay_servers;
+pub mod process;
+pub mod relay;
+pub mod run;
+
+use crate::deployment::{Deployment, End, Nanos, Stream};
+use crate::history::{At, Event, Trace, Writer};
+use crate::link::{Path, Rules};
+use crate::scenario::Scenario;
+use rand_chacha::ChaCha8Rng;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fs::File;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// What all of the lab's tasks share.
+pub struct World {
+    pub scenario: Scenario,
+    pub deployment: Deployment,
+    pub seed: u64,
+    origin: Instant,
+    history: RefCell<Writer<File>>,
+    /// The first failure to write the history: the run is worth nothing then.
+    broken: RefCell<Option<String>>,
+    rules: RefCell<Rules>,
+    pub rules_changed: Notify,
+    pub chance: RefCell<ChaCha8Rng>,
+    next: Cell<u64>,
+    /// Whose each id is: customer and class. Kept while pay servers may see it.
+    pub traces: RefCell<HashMap<Trace, (u32, u8)>>,
+}
+
+impl World {
+    pub fn new(scenario: Scenario, deployment: Deployment, seed: u64, history: Writer<File>) -> Rc<World> {
+        Rc::new(World {
+            scenario,
+            deployment,
+            seed,
+            origin: Instant::now(),
+            history: RefCell::new(history),
+            broken: RefCell::new(None),
+            rules: RefCell::default(),
+            rules_changed: Notify::new(),
+            chance: RefCell::new(crate::deployment::chance(seed, Stream::Links)),
+            next: Cell::new(1),
+            traces: RefCell::default(),
+        })
+    }
+
+    pub fn now(&self) -> Nanos {
+        u64::try_from(self.origin.elapsed().as_nanos()).unwrap_or(u64::MAX)
+    }
+
+    pub fn instant(&self, at: Nanos) -> Instant {
+        self.origin + Duration::from_nanos(at)
+    }
+
+    pub async fn sleep_until(&self, at: Nanos) {
+        tokio::time::sleep_until(self.instant(at)).await;
+    }
+
+    pub fn record(&self, event: Event) {
+        let at = At { at: self.now(), event };
+        if let Err(e) = self.history.borrow_mut().add(&at) {
+            self.broken.borrow_mut().get_or_insert_with(|| format!("the history cannot be written: {e}"));
+        }
+    }
+
+    /// All that was recorded is on its way to the disk.
+    pub fn flush(&self) -> Result<(), String> {
+        let flushed = self.history.borrow_mut().flush();
+        match (self.broken.borrow().clone(), flushed) {
+            (Some(e), _) => Err(e),
+            (None, Err(e)) => Err(format!("the history cannot be written: {e}")),
+            (None, Ok(())) => Ok(()),
+        }
+    }
+
+    /// A number that nothing else in this run has.
+    pub fn number(&self) -> u64 {
+        self.next.replace(self.next.get() + 1)
+    }
+
+    pub fn change_rules(&self, change: impl FnOnce(&mut Rules)) {
+        change(&mut self.rules.borrow_mut());
+        self.rules_changed.notify_waiters();
+    }
+
+    pub fn path(&self, from: End, to: End) -> Path {
+        let rules = self.rules.borrow();
+        if rules.is_empty() {
+            return Path::CLEAR;
+        }
+        rules.path(from, to)
+    }
+
+    pub fn connects(&self, from: End, to: End) -> bool {
+        let rules = self.rules.borrow();
+        rules.is_empty() || rules.connects(from, to)
+    }
+
+    pub fn reset(&self, from: End, to: End) -> bool {
+        let rules = self.rules.borrow();
+        !rules.is_empty() && rules.reset(from, to)
+    }
+
+    /// Waits until a condition on the rules holds.
+    pub async fn until(&self, mut holds: impl FnMut(&World) -> bool) {
+        while !holds(self) {
+            self.rules_changed.notified().await;
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/shell/lists.rs
@@ -0,0 +1,346 @@
+//! Who tells the list: the stand-in of the platform's discovery, or the way to processes of the list service; and the
+//! counter. All are called by gateways at their own views.
+
+use crate::deployment::{End, MS};
+use crate::history::{Event, Told};
+use crate::shell::pay_servers::{plain, shut_out};
+use crate::shell::process::Process;
+use crate::shell::relay::{relay, Side, Tap, Watch};
+use crate::shell::{address, World};
+use crate::stand::counter::Counter;
+use crate::stand::list::{told, List};
+use bytes::{Bytes, BytesMut};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use mapledeck_discovery::format::{Ask, Entry, HostList, HOSTS};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::IpAddr;
+use std::rc::Rc;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, DuplexStream};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{watch, Notify};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+const PIPE: usize = 64 << 10;
+/// Calls and answers that are longer are passed on unread.
+const MESSAGE_MOST: usize = 256 << 10;
+/// A line of the counter's is far shorter.
+const LINE_MOST: usize = 256;
+
+/// A stand-in's door: connections by callers that are known, each on a task of its own, until the process it stands for
+/// is gone.
+pub struct Door {
+    world: Rc<World>,
+    to: End,
+    pub port: u16,
+    listener: TcpListener,
+    /// Rises when all connections are to end.
+    generation: watch::Sender<u64>,
+    open: Cell<bool>,
+}
+
+impl Door {
+    pub fn open(world: &Rc<World>, to: End) -> io::Result<Rc<Door>> {
+        let (listener, port) = address::listen()?;
+        let open = Cell::new(true);
+        let generation = watch::Sender::new(0);
+        Ok(Rc::new(Door { world: world.clone(), to, port, listener, generation, open }))
+    }
+
+    /// Its process is there, or gone: connections are reset, and new ones as soon as they are up.
+    pub fn set(&self, open: bool) {
+        self.open.set(open);
+        if !open {
+            self.generation.send_modify(|generation| *generation += 1);
+        }
+    }
+
+    pub fn shut_out(&self) {
+        shut_out(&self.world, &self.listener, self.to);
+    }
+
+    async fn each(self: Rc<Self>, serve: impl Fn(TcpStream, End)) {
+        while let Ok((tcp, _)) = self.listener.accept().await {
+            let caller = tcp.local_addr().ok().and_then(|addr| address::caller(addr.ip()));
+            match caller.filter(|from| self.open.get() && !self.world.reset(*from, self.to)) {
+                Some(from) => serve(tcp, from),
+                None => tcp.abort(),
+            }
+        }
+    }
+
+    /// Passes a connection on to a service in this process.
+    async fn through(
+        self: Rc<Self>,
+        mut tcp: TcpStream,
+        from: End,
+        serving: impl std::future::Future<Output = ()> + 'static,
+        mut outer: DuplexStream,
+    ) {
+        drop(tcp.set_nodelay(true));
+        let number = self.world.number();
+        self.world.record(Event::Opened { connection: number, from, to: self.to });
+        let serving = spawn_local(serving);
+        let mut generation = self.generation.subscribe();
+        generation.mark_unchanged();
+        tokio::select! {
+            () = relay(&self.world, &mut tcp, from, &mut outer, self.to, Watch::default()) => {}
+            _ = generation.changed() => tcp.abort(),
+        }
+        serving.abort();
+    }
+}
+
+/// The stand-in of the platform's discovery.
+pub struct Platform {
+    pub door: Rc<Door>,
+    pub list: RefCell<List>,
+    changed: Notify,
+}
+
+impl Platform {
+    pub fn new(world: &Rc<World>) -> io::Result<Rc<Platform>> {
+        let door = Door::open(world, End::ListService(0))?;
+        let platform = Rc::new(Platform { door, list: RefCell::new(List::new(1)), changed: Notify::new() });
+        let serving = platform.clone();
+        spawn_local(platform.door.clone().each(move |tcp, from| {
+            let (outer, inner) = tokio::io::duplex(PIPE);
+            let platform = serving.clone();
+            let serve = async move {
+                let service = service_fn(|request| platform.clone().answer(request, from));
+                drop(http1::Builder::new().serve_connection(TokioIo::new(inner), service).await);
+            };
+            spawn_local(serving.door.clone().through(tcp, from, serve, outer));
+        }));
+        Ok(platform)
+    }
+
+    /// The list is another one.
+    pub fn change(&self, change: impl FnOnce(&mut List)) {
+        change(&mut self.list.borrow_mut());
+        self.changed.notify_waiters();
+    }
+
+    async fn answer(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        from: End,
+    ) -> Result<Response<Full<Bytes>>, io::Error> {
+        let world = &self.door.world;
+        let End::Gateway(gateway) = from else { return Ok(plain(404, "", String::new())) };
+        if request.uri().path() != HOSTS {
+            return Ok(plain(404, "", "no such path".to_owned()));
+        }
+        let ask = match Ask::of_query(request.uri().query().unwrap_or_default()) {
+            Ok(ask) => ask,
+            Err(e) => return Ok(plain(400, "", e)),
+        };
+        let since = if let Ask::Watch { since, .. } = ask { Some(since) } else { None };
+        world.record(Event::ListAsked { gateway, since });
+        if let Ask::Watch { wait, .. } = ask {
+            // In time or not, it is answered.
+            drop(timeout(wait, self.newer(ask)).await);
+        }
+        let answer = self.list.borrow().answer(ask);
+        let mut answer = answer.unwrap_or_else(|| crate::stand::list::Answer {
+            version: self.list.borrow().version(),
+            full: false,
+            servers: Vec::new(),
+        });
+        let servers = answer.told();
+        let (version, full) = (answer.version, answer.full);
+        world.record(Event::ListTold { gateway, list: 0, store: 1, epoch: 1, version, full, servers });
+        let body = answer.body(address::view(from)).map_err(io::Error::other)?;
+        Ok(Response::new(Full::new(body.into())))
+    }
+
+    async fn newer(&self, ask: Ask) {
+        while self.list.borrow().answer(ask).is_none() {
+            self.changed.notified().await;
+        }
+    }
+}
+
+/// The way to a process of the list service.
+pub fn list_process(door: &Rc<Door>, list: u16, process: &Rc<Process>, numbers: Rc<HashMap<String, u16>>) {
+    let (accepting, process) = (door.clone(), process.clone());
+    spawn_local(door.clone().each(move |mut tcp, from| {
+        let (door, process, numbers) = (accepting.clone(), process.clone(), numbers.clone());
+        spawn_local(async move {
+            let world = &door.world;
+            let Some(addr) = process.addr() else { return tcp.abort() };
+            let Ok(mut inner) = TcpStream::connect(addr).await else { return tcp.abort() };
+            drop(tcp.set_nodelay(true));
+            drop(inner.set_nodelay(true));
+            world.record(Event::Opened { connection: world.number(), from, to: door.to });
+            let watch = match from {
+                End::Gateway(gateway) => Watch {
+                    there: Some(calls(world.clone(), gateway)),
+                    back: Some(answers(world.clone(), gateway, list, numbers)),
+                    ..Watch::default()
+                },
+                _ => Watch::default(),
+            };
+            relay(world, &mut tcp, from, &mut inner, door.to, watch).await;
+        });
+    }));
+}
+
+/// Sees the calls that a gateway makes.
+fn calls(world: Rc<World>, gateway: u16) -> Tap {
+    messages(move |line, _| {
+        let query = line.split(' ').nth(1).and_then(|target| target.strip_prefix(HOSTS));
+        if let Some(Ok(ask)) = query.map(|query| Ask::of_query(query.trim_start_matches('?'))) {
+            let since = if let Ask::Watch { since, .. } = ask { Some(since) } else { None };
+            world.record(Event::ListAsked { gateway, since });
+        }
+    })
+}
+
+/// Sees the lists that a gateway is told, and puts its view in the place of the address under which servers register.
+fn answers(world: Rc<World>, gateway: u16, list: u16, numbers: Rc<HashMap<String, u16>>) -> Tap {
+    let registered = address::REGISTERED.to_string();
+    let view = address::view(End::Gateway(gateway)).to_string();
+    messages(move |_, body| {
+        for at in 0..body.len().saturating_sub(registered.len()) {
+            if body[at..].starts_with(registered.as_bytes()) {
+                body[at..at + view.len()].copy_from_slice(view.as_bytes());
+            }
+        }
+        let Ok(told_list) = serde_json::from_slice::<HostList>(body) else { return };
+        let servers: Vec<(u16, Told)> = told_list
+            .servers
+            .iter()
+            .filter_map(|entry| match entry {
+                Entry::Readable(host) => Some((*numbers.get(&host.id)?, told(host.state))),
+                Entry::Spoilt(_) => None,
+            })
+            .collect();
+        world.record(Event::ListTold {
+            gateway,
+            list,
+            store: told_list.store.unwrap_or(0),
+            epoch: told_list.epoch,
+            version: told_list.version,
+            full: told_list.full,
+            servers,
+        });
+    })
+}
+
+/// Hands each HTTP message, as its first line and its body, to `see`, and passes it on whole; what cannot be read is passed
+/// on as it is.
+fn messages(mut see: impl FnMut(&str, &mut [u8]) + 'static) -> Tap {
+    let mut come = BytesMut::new();
+    let mut unreadable = false;
+    Box::new(move |piece| {
+        if unreadable {
+            return piece;
+        }
+        come.extend_from_slice(&piece);
+        let mut whole = BytesMut::new();
+        loop {
+            match extent(&come) {
+                Extent::Part if come.len() <= MESSAGE_MOST => break,
+                Extent::Part | Extent::Unreadable => {
+                    unreadable = true;
+                    whole.unsplit(come.split());
+                    break;
+                }
+                Extent::Whole { head, length } => {
+                    let mut message = come.split_to(head + length);
+                    let line = message[..].split(|b| *b == b'\r').next().unwrap_or_default();
+                    let line = String::from_utf8_lossy(line).into_owned();
+                    see(&line, &mut message[head..]);
+                    whole.unsplit(message);
+                }
+            }
+        }
+        whole.freeze()
+    })
+}
+
+enum Extent {
+    Part,
+    Whole { head: usize, length: usize },
+    Unreadable,
+}
+
+/// How long the first message is: its head and its body.
+fn extent(bytes: &[u8]) -> Extent {
+    let mut lines = [httparse::EMPTY_HEADER; 32];
+    let answer = bytes.starts_with(b"HTTP/");
+    let (parsed, headers) = if answer {
+        let mut response = httparse::Response::new(&mut lines);
+        (response.parse(bytes), response.headers)
+    } else {
+        let mut request = httparse::Request::new(&mut lines);
+        (request.parse(bytes), request.headers)
+    };
+    let head = match parsed {
+        Ok(httparse::Status::Complete(head)) => head,
+        Ok(httparse::Status::Partial) => return Extent::Part,
+        Err(_) => return Extent::Unreadable,
+    };
+    let length = headers.iter().find(|header| header.name.eq_ignore_ascii_case("content-length"));
+    let length = length.and_then(|header| std::str::from_utf8(header.value).ok()?.trim().parse().ok());
+    match length.unwrap_or(0) {
+        length if length > MESSAGE_MOST => Extent::Unreadable,
+        length if bytes.len() < head + length => Extent::Part,
+        length => Extent::Whole { head, length },
+    }
+}
+
+/// The counter.
+pub struct Counts {
+    pub door: Rc<Door>,
+    pub core: RefCell<Counter>,
+}
+
+impl Counts {
+    pub fn new(world: &Rc<World>) -> io::Result<Rc<Counts>> {
+        let door = Door::open(world, End::Counter)?;
+        let core = RefCell::new(Counter::new(world.scenario.site.counter_per_s));
+        let counts = Rc::new(Counts { door, core });
+        let serving = counts.clone();
+        spawn_local(counts.door.clone().each(move |tcp, from| {
+            let (outer, inner) = tokio::io::duplex(PIPE);
+            let counts = serving.clone();
+            let serve = async move { drop(counts.serve(inner, from).await) };
+            spawn_local(serving.door.clone().through(tcp, from, serve, outer));
+        }));
+        Ok(counts)
+    }
+
+    async fn serve(&self, pipe: DuplexStream, from: End) -> io::Result<()> {
+        let world = &self.door.world;
+        let End::Gateway(gateway) = from else { return Ok(()) };
+        let (read, mut write) = tokio::io::split(pipe);
+        let mut lines = BufReader::with_capacity(LINE_MOST, read).lines();
+        while let Some(line) = lines.next_line().await? {
+            let reply = self.core.borrow_mut().call(world.now(), line.trim_end());
+            world.record(Event::Counted { gateway, busy: reply.busy });
+            world.sleep_until(reply.at).await;
+            write.write_all(format!("{}\r\n", reply.text).as_bytes()).await?;
+        }
+        Ok(())
+    }
+}
+
+/// Where a gateway finds a stand-in.
+pub fn place(from: End, port: u16) -> String {
+    format!("{}:{port}", IpAddr::V4(address::view(from)))
+}
+
+/// How late the list hears of a change.
+pub fn lateness(world: &World, new: bool) -> u64 {
+    let site = &world.scenario.site;
+    (if new { site.list_add_ms } else { site.list_notice_ms }) * MS
+}
--- /dev/null
+++ b/lab/src/shell/process.rs
@@ -0,0 +1,254 @@
+//! Processes of the program: started, watched, signalled; and ended with the lab, whatever ends it.
+
+use crate::deployment::End;
+use crate::history::{Event, Life};
+use crate::shell::World;
+use rustix::process::{kill_process, Pid, Resource, Rlimit, Signal};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::process::{Child, ChildStderr, Command};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// A process that does not listen by then has not started.
+const START_MOST: Duration = Duration::from_secs(60);
+/// The longest line that is kept of a process.
+const LINE_MOST: usize = 4096;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Down,
+    Starting(Pid),
+    Up(Pid, SocketAddr),
+}
+
+/// A place in the fleet, with or without a process.
+pub struct Process {
+    pub end: End,
+    world: Rc<World>,
+    program: PathBuf,
+    log: PathBuf,
+    state: watch::Sender<State>,
+    /// The lab has said that it is to end.
+    told: Cell<bool>,
+    stopped: Cell<bool>,
+    losses: Cell<u64>,
+    crashed: RefCell<Option<String>>,
+}
+
+impl Process {
+    pub fn new(world: &Rc<World>, end: End, program: PathBuf, log: PathBuf) -> Rc<Process> {
+        Rc::new(Process {
+            end,
+            world: world.clone(),
+            program,
+            log,
+            state: watch::Sender::new(State::Down),
+            told: Cell::new(false),
+            stopped: Cell::new(false),
+            losses: Cell::new(0),
+            crashed: RefCell::new(None),
+        })
+    }
+
+    /// Where it listens, while it lives.
+    pub fn addr(&self) -> Option<SocketAddr> {
+        match *self.state.borrow() {
+            State::Up(_, addr) => Some(addr),
+            _ => None,
+        }
+    }
+
+    pub fn lives(&self) -> bool {
+        *self.state.borrow() != State::Down
+    }
+
+    /// Follows what becomes of it.
+    pub fn watch(&self) -> watch::Receiver<State> {
+        self.state.subscribe()
+    }
+
+    /// What it said last, if it ended by itself.
+    pub fn crashed(&self) -> Option<String> {
+        self.crashed.borrow().clone()
+    }
+
+    /// How often it has lost what it had: killed, or ended by itself.
+    pub fn losses(&self) -> u64 {
+        self.losses.get()
+    }
+
+    fn record(&self, life: Life) {
+        self.world.record(Event::Lived { end: self.end, life });
+    }
+
+    /// Starts it, and waits until it listens; the error tells why it does not.
+    pub async fn start(
+        self: &Rc<Self>,
+        prepare: impl FnOnce(&mut Command) -> io::Result<()>,
+    ) -> Result<(), String> {
+        let failed = |e: &dyn std::fmt::Display| format!("{}: {}: {e}", self.end, self.program.display());
+        let mut command = Command::new(&self.program);
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true);
+        prepare(&mut command).map_err(|e| failed(&e))?;
+        ends_with_parent(&mut command);
+        let mut child = command.spawn().map_err(|e| failed(&e))?;
+        let pid = child.id().and_then(|id| Pid::from_raw(i32::try_from(id).ok()?));
+        let (Some(pid), Some(lines)) = (pid, child.stderr.take()) else {
+            return Err(failed(&"it has ended already"));
+        };
+        self.told.set(false);
+        self.stopped.set(false);
+        self.state.send_replace(State::Starting(pid));
+        self.record(Life::Started);
+        let log = tokio::fs::OpenOptions::new().create(true).append(true).open(&self.log).await;
+        let log = log.map_err(|e| failed(&e))?;
+        let mut listening = self.state.subscribe();
+        spawn_local(self.clone().follow(pid, lines, log));
+        spawn_local(self.clone().reap(child));
+        let came =
+            timeout(START_MOST, listening.wait_for(|state| !matches!(state, State::Starting(_)))).await;
+        let state = match came {
+            Ok(Ok(state)) => *state,
+            _ => return Err(failed(&"it does not listen")),
+        };
+        match state {
+            State::Up(..) => Ok(()),
+            _ if self.told.get() => Ok(()),
+            _ => Err(failed(&format!("it ended; its last lines are in {}", self.log.display()))),
+        }
+    }
+
+    /// Keeps its lines, and finds where it listens.
+    async fn follow(self: Rc<Self>, pid: Pid, lines: ChildStderr, mut log: tokio::fs::File) {
+        let mut lines = BufReader::new(lines).split(b'\n');
+        while let Ok(Some(mut line)) = lines.next_segment().await {
+            line.truncate(LINE_MOST);
+            let text = String::from_utf8_lossy(&line).into_owned();
+            let addr = text.rsplit_once("listening on ").and_then(|(_, rest)| {
+                let addr: String =
+                    rest.chars().take_while(|c| c.is_ascii_digit() || ".:".contains(*c)).collect();
+                addr.parse().ok()
+            });
+            if let Some(addr) = addr {
+                self.state.send_if_modified(|state| {
+                    let starts = *state == State::Starting(pid);
+                    if starts {
+                        *state = State::Up(pid, addr);
+                    }
+                    starts
+                });
+            }
+            line.push(b'\n');
+            // A log that cannot be written must not stop the process that writes it.
+            drop(log.write_all(&line).await);
+        }
+        drop(log.flush().await);
+    }
+
+    async fn reap(self: Rc<Self>, mut child: Child) {
+        let status = child.wait().await;
+        let told = self.told.get();
+        self.record(if told { Life::Ended } else { Life::Crashed });
+        if !told {
+            self.losses.set(self.losses.get() + 1);
+            let status = status.map_or_else(|e| e.to_string(), |status| status.to_string());
+            tracing::error!(end = %self.end, status, "a process ended by itself");
+            self.crashed.replace(Some(status));
+        }
+        self.state.send_replace(State::Down);
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let State::Up(pid, _) | State::Starting(pid) = *self.state.borrow() {
+            if let Err(e) = kill_process(pid, signal) {
+                tracing::warn!(end = %self.end, error = %e, "a signal did not reach its process");
+            }
+        }
+    }
+
+    /// Ends it at once, and waits until it has.
+    pub async fn kill(&self) {
+        self.told.set(true);
+        self.losses.set(self.losses.get() + 1);
+        self.signal(Signal::KILL);
+        self.gone().await;
+    }
+
+    /// Asks it to end.
+    pub fn terminate(&self) {
+        self.told.set(true);
+        self.signal(Signal::TERM);
+    }
+
+    pub async fn gone(&self) {
+        // The sender is this one's own, so it outlives the wait.
+        drop(self.state.subscribe().wait_for(|state| *state == State::Down).await);
+    }
+
+    /// Stands still, or goes on.
+    pub fn pause(&self, paused: bool) {
+        if self.stopped.replace(paused) != paused && self.lives() {
+            self.signal(if paused { Signal::STOP } else { Signal::CONT });
+            self.record(if paused { Life::Stopped } else { Life::Continued });
+        }
+    }
+
+    /// Its files can grow no more, or can again: a stand-in for a full disk that needs neither a mount nor special rights.
+    /// Writing beyond it fails, as the signal for it is ignored from the start.
+    pub fn fill_disk(&self, full: bool) -> io::Result<()> {
+        let State::Up(pid, _) = *self.state.borrow() else { return Ok(()) };
+        let old = rustix::process::prlimit(Some(pid), Resource::Fsize, unlimited())?;
+        if full {
+            rustix::process::prlimit(
+                Some(pid),
+                Resource::Fsize,
+                Rlimit { current: Some(0), maximum: old.maximum },
+            )?;
+        }
+        Ok(())
+    }
+}
+
+fn unlimited() -> Rlimit {
+    Rlimit { current: None, maximum: None }
+}
+
+/// The system kills it when this process ends, however that comes; and a write beyond a limit fails rather than kills.
+#[allow(unsafe_code)]
+fn ends_with_parent(command: &mut Command) {
+    let parent = rustix::process::getpid();
+    // SAFETY: between fork and exec only system calls are made, which allocate nothing and take no locks.
+    unsafe {
+        command.pre_exec(move || {
+            rustix::process::set_parent_process_death_signal(Some(Signal::KILL))?;
+            // It may have died before that took effect.
+            if rustix::process::getppid() != Some(parent) {
+                return Err(io::Error::from_raw_os_error(libc::ESRCH));
+            }
+            libc::signal(libc::SIGXFSZ, libc::SIG_IGN);
+            Ok(())
+        });
+    }
+}
+
+/// Raises the limit on descriptors as far as this process may; the error says what is needed.
+pub fn descriptors(needed: u64) -> Result<(), String> {
+    let limit = rustix::process::getrlimit(Resource::Nofile);
+    if limit.current.is_none_or(|current| current >= needed) {
+        return Ok(());
+    }
+    if limit.maximum.is_some_and(|most| most < needed) {
+        let most = limit.maximum.unwrap_or(0);
+        return Err(format!("this fleet needs {needed} descriptors, and the limit is {most} (ulimit -Hn)"));
+    }
+    let raised = Rlimit { current: limit.maximum, maximum: limit.maximum };
+    rustix::process::setrlimit(Resource::Nofile, raised).map_err(|e| format!("the limit on descriptors: {e}"))
+}
--- /dev/null
+++ b/lab/src/verdict.rs
@@ -0,0 +1,102 @@
+//! A recorded run, read once: what holds, and what it came to.
+
+use crate::figures::{Figures, Summary};
+use crate::history::Reader;
+use crate::judge::{Finding, Judge};
+use crate::scenario::Scenario;
+use crate::shell::run::HISTORY;
+use std::collections::BTreeMap;
+use std::path::Path;
+
+pub struct Verdict {
+    pub findings: BTreeMap<&'static str, Finding>,
+    pub summary: Summary,
+    /// What was wanted beyond the invariants, and missed.
+    pub missed: Vec<String>,
+}
+
+/// Judges the run in a folder; the error says why it cannot be judged. `figures`, filled, are for whoever draws them.
+pub fn judge(dir: &Path) -> Result<(Verdict, Figures), String> {
+    let path = dir.join(HISTORY);
+    let (mut judge, mut figures, mut drawn) = (Judge::default(), Figures::new(), Figures::new());
+    let read = Reader::open(&path)?.each(|event| {
+        judge.take(&event);
+        figures.take(&event);
+        drawn.take(&event);
+    });
+    read.map_err(|e| format!("{}: {e}", path.display()))?;
+    let findings = judge.findings().map_err(|e| format!("{}: {e}", path.display()))?;
+    let text = figures.setup().map(|setup| setup.text.clone()).unwrap_or_default();
+    let summary = figures.summary(&findings).ok_or("the history has no setup")?;
+    let scenario = Scenario::parse(&text).map_err(|e| format!("the history's scenario: {e}"))?;
+    let missed = missed(&scenario, &summary);
+    Ok((Verdict { findings, summary, missed }, drawn))
+}
+
+fn missed(scenario: &Scenario, summary: &Summary) -> Vec<String> {
+    let Some(expect) = &scenario.expect else { return Vec::new() };
+    let mut missed = Vec::new();
+    if let Some(wanted) = expect.served_share {
+        let share = summary.served as f64 / summary.requests.max(1) as f64;
+        if share < wanted {
+            missed.push(format!("expect.served_share: {share:.3} of {wanted}"));
+        }
+    }
+    if let Some(within) = expect.full_service_within_ms {
+        if summary.time_to_full_service_ms.is_none_or(|took| took > within) {
+            let took = summary.time_to_full_service_ms.map_or("never".to_owned(), |ms| format!("{ms} ms"));
+            missed.push(format!("expect.full_service_within_ms: {took}, not {within}"));
+        }
+    }
+    if let Some(most) = expect.lost_at_most.filter(|most| summary.lost > *most) {
+        missed.push(format!("expect.lost_at_most: {} lost, not {most}", summary.lost));
+    }
+    missed
+}
+
+impl Verdict {
+    pub fn holds(&self) -> bool {
+        self.summary.crashes == 0
+            && self.missed.is_empty()
+            && self.findings.values().all(|finding| finding.holds != Some(false))
+    }
+
+    /// For people.
+    pub fn lines(&self) -> Vec<String> {
+        let s = &self.summary;
+        let or_never = |ms: Option<u64>| ms.map_or("never".to_owned(), |ms| format!("{ms} ms"));
+        let rate = |rate: Option<f64>| rate.map_or("-".to_owned(), |rate| format!("{rate:.1}/s"));
+        let mut lines = vec![
+            format!(
+                "{} requests: {} served, {} refused, {} failed, {} unknown, {} lost (seed {})",
+                s.requests, s.served, s.refused, s.failed, s.unknown, s.lost, s.seed
+            ),
+            format!(
+                "goodput {} before, {} after; full service again after {}",
+                rate(s.goodput_before),
+                rate(s.goodput_after),
+                or_never(s.time_to_full_service_ms)
+            ),
+            format!(
+                "in hand when struck: {}, lost of them: {}; must not run twice and unknown to their clients: {}, had run: {}",
+                s.in_hand, s.in_hand_lost, s.unsafe_lost, s.unsafe_lost_ran
+            ),
+        ];
+        for (name, finding) in &self.findings {
+            let word = match finding.holds {
+                Some(true) => "holds",
+                Some(false) => "BROKEN",
+                None => "does not apply",
+            };
+            let why =
+                if finding.why.is_empty() { String::new() } else { format!(": {}", finding.why.join("; ")) };
+            let cases = if finding.cases > 0 { format!(" ({} cases)", finding.cases) } else { String::new() };
+            lines.push(format!("  {name}: {word}{cases}{why}"));
+        }
+        if s.crashes > 0 {
+            lines.push(format!("BROKEN: {} processes ended by themselves", s.crashes));
+        }
+        lines.extend(self.missed.iter().map(|missed| format!("MISSED: {missed}")));
+        lines
+    }
+}
