--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,9 +3,11 @@
 
 use clap::{Parser, Subcommand};
 use mapledeck_lab::scenario::Scenario;
+use mapledeck_lab::shell::process::become_held;
 use mapledeck_lab::shell::run::{run, usual_dir, Failure, Order, SUMMARY};
 use mapledeck_lab::verdict::{judge, Verdict};
 use mapledeck_lab::{compare, draw, report};
+use std::ffi::OsString;
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -53,6 +55,9 @@
     },
     /// Writes DIR/report.html: one file, readable on its own
     Report { dir: PathBuf },
+    /// Becomes one of the fleet's processes; for the lab itself
+    #[command(hide = true)]
+    Hold { parent: i32, program: OsString, args: Vec<OsString> },
     /// Two runs, or two folders of runs, side by side
     Compare { one: PathBuf, other: PathBuf },
 }
@@ -104,6 +109,10 @@
             write_report(&dir)?;
             Ok(HOLDS)
         }
+        Call::Hold { parent, program, args } => {
+            let e = become_held(parent, &program, &args);
+            Err(Failure::Lab(format!("{}: {e}", program.to_string_lossy())))
+        }
         Call::Compare { one, other } => {
             print!("{}", compare::compare(&one, &other).map_err(Failure::Unusable)?);
             Ok(HOLDS)
@@ -125,12 +134,11 @@
     let dir = dir.canonicalize().map_err(lab)?;
     let log = fs::File::create(dir.join("lab.log")).map_err(lab)?;
     tracing_subscriber::fmt().json().with_writer(log).init();
-    let programs = std::env::current_exe().ok().and_then(|exe| exe.parent().map(Path::to_owned));
-    let programs = programs.ok_or_else(|| Failure::Lab("where is this program?".to_owned()))?;
-    run(&Order { name: name.to_owned(), text, seed, dir: dir.clone(), programs })?;
+    let lab = std::env::current_exe().map_err(lab)?;
+    run(&Order { name: name.to_owned(), text, seed, dir: dir.clone(), lab })?;
     let (verdict, _) = judge(&dir).map_err(Failure::Lab)?;
     let summary = serde_json::to_vec_pretty(&verdict.summary).map_err(|e| Failure::Lab(e.to_string()))?;
-    fs::write(dir.join(SUMMARY), summary).map_err(lab)?;
+    fs::write(dir.join(SUMMARY), summary).map_err(|e| Failure::Lab(format!("{SUMMARY}: {e}")))?;
     println!("{}", dir.display());
     Ok(tell(&verdict, json))
 }
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -17,6 +17,8 @@
     RGBColor(204, 121, 167),
     RGBColor(86, 180, 233),
 ];
+/// The time axis goes on by this factor: there stand the names of the lines, over none of them.
+const LEGEND: f64 = 1.14;
 const FAULT: RGBColor = RGBColor(190, 30, 45);
 
 struct Line {
@@ -178,7 +180,7 @@
             .margin(8)
             .x_label_area_size(34)
             .y_label_area_size(56)
-            .build_cartesian_2d(0.0..length, 0.0..top)
+            .build_cartesian_2d(0.0..length * LEGEND, 0.0..top)
             .map_err(|e| failed(&e))?;
         let mut mesh = chart.configure_mesh();
         mesh.x_desc("seconds of the load").y_desc(unit).light_line_style(WHITE);
@@ -188,7 +190,7 @@
             let band = Rectangle::new([(*from, 0.0), (to, top)], FAULT.mix(0.10).filled());
             let edge = PathElement::new([(*from, 0.0), (*from, top)], FAULT.mix(0.8));
             let style = ("sans-serif", 12).into_font().color(&FAULT).pos(Pos::new(HPos::Left, VPos::Top));
-            let name = Text::new(format!(" fault {number}"), (*from, top), style);
+            let name = Text::new(format!(" fault {number}"), (*from, top * 0.98), style);
             chart.draw_series([band]).map_err(|e| failed(&e))?;
             chart.draw_series([edge]).map_err(|e| failed(&e))?;
             chart.draw_series([name]).map_err(|e| failed(&e))?;
--- a/lab/src/shell/process.rs
+++ b/lab/src/shell/process.rs
@@ -5,8 +5,10 @@
 use crate::shell::World;
 use rustix::process::{kill_process, Pid, Resource, Rlimit, Signal};
 use std::cell::{Cell, RefCell};
+use std::ffi::{OsStr, OsString};
 use std::io;
 use std::net::SocketAddr;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::rc::Rc;
@@ -33,6 +35,8 @@
 pub struct Process {
     pub end: End,
     world: Rc<World>,
+    /// The lab's own program, which becomes the other.
+    holder: PathBuf,
     program: PathBuf,
     log: PathBuf,
     state: watch::Sender<State>,
@@ -44,10 +48,11 @@
 }
 
 impl Process {
-    pub fn new(world: &Rc<World>, end: End, program: PathBuf, log: PathBuf) -> Rc<Process> {
+    pub fn new(world: &Rc<World>, end: End, holder: PathBuf, program: PathBuf, log: PathBuf) -> Rc<Process> {
         Rc::new(Process {
             end,
             world: world.clone(),
+            holder,
             program,
             log,
             state: watch::Sender::new(State::Down),
@@ -95,10 +100,10 @@
         prepare: impl FnOnce(&mut Command) -> io::Result<()>,
     ) -> Result<(), String> {
         let failed = |e: &dyn std::fmt::Display| format!("{}: {}: {e}", self.end, self.program.display());
-        let mut command = Command::new(&self.program);
+        let mut command = Command::new(&self.holder);
+        command.arg("hold").arg(std::process::id().to_string()).arg(&self.program);
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true);
         prepare(&mut command).map_err(|e| failed(&e))?;
-        ends_with_parent(&mut command);
         let mut child = command.spawn().map_err(|e| failed(&e))?;
         let pid = child.id().and_then(|id| Pid::from_raw(i32::try_from(id).ok()?));
         let (Some(pid), Some(lines)) = (pid, child.stderr.take()) else {
@@ -221,21 +226,28 @@
     Rlimit { current: None, maximum: None }
 }
 
-/// The system kills it when this process ends, however that comes; and a write beyond a limit fails rather than kills.
+/// Becomes another program, which the system kills when the process that asked for it ends, however that comes; and for which
+/// a write beyond its limit fails rather than kills it. Returns only with an error.
+///
+/// A step of its own between the lab and a process, as setting this between fork and exec would have the system copy the lab's
+/// whole address space for each process: with hundreds started at once the lab stood still for two seconds.
+pub fn become_held(parent: i32, program: &OsStr, args: &[OsString]) -> io::Error {
+    if let Err(e) = rustix::process::set_parent_process_death_signal(Some(Signal::KILL)) {
+        return e.into();
+    }
+    // It may have died before that took effect.
+    if rustix::process::getppid().map(Pid::as_raw_nonzero).map(|pid| pid.get()) != Some(parent) {
+        return io::Error::other("whoever asked for it has ended");
+    }
+    ignore_file_limit();
+    std::process::Command::new(program).args(args).exec()
+}
+
 #[allow(unsafe_code)]
-fn ends_with_parent(command: &mut Command) {
-    let parent = rustix::process::getpid();
-    // SAFETY: between fork and exec only system calls are made, which allocate nothing and take no locks.
+fn ignore_file_limit() {
+    // SAFETY: no handler is installed, and no other thread is there to race with.
     unsafe {
-        command.pre_exec(move || {
-            rustix::process::set_parent_process_death_signal(Some(Signal::KILL))?;
-            // It may have died before that took effect.
-            if rustix::process::getppid() != Some(parent) {
-                return Err(io::Error::from_raw_os_error(libc::ESRCH));
-            }
-            libc::signal(libc::SIGXFSZ, libc::SIG_IGN);
-            Ok(())
-        });
+        libc::signal(libc::SIGXFSZ, libc::SIG_IGN);
     }
 }
 
--- a/lab/src/shell/run.rs
+++ b/lab/src/shell/run.rs
@@ -65,8 +65,8 @@
     pub text: String,
     pub seed: u64,
     pub dir: PathBuf,
-    /// The folder of the built programs.
-    pub programs: PathBuf,
+    /// This program; the others lie beside it.
+    pub lab: PathBuf,
 }
 
 /// Plays a scenario to its end; what happened is then in the order's folder.
@@ -96,8 +96,9 @@
 /// Connections, pipes and files of the lab itself, at the most.
 fn descriptors_needed(scenario: &Scenario) -> u64 {
     let fleet = &scenario.fleet;
-    // A gateway prefers some servers and knows the others; a front keeps some connections to each.
-    let each = 8 + 2 * u64::from(fleet.pay_servers.min(24)) + 32;
+    // Its pipe, the watch of the list and the counter; the servers that it prefers and some that it tries; what the front
+    // keeps to it.
+    let each = 8 + u64::from(fleet.pay_servers.min(24)) + 20;
     256 + u64::from(fleet.pay_servers) * 2 + u64::from(fleet.gateways) * each
 }
 
@@ -139,7 +140,7 @@
     }
     let counts = if scenario.fleet.counter { Some(Counts::new(world).map_err(io)?) } else { None };
     let program = |name: &str| -> Result<PathBuf, String> {
-        let path = order.programs.join(name);
+        let path = order.lab.with_file_name(name);
         match path.is_file() {
             true => Ok(path),
             false => Err(format!("{} is missing; build it first", path.display())),
@@ -149,7 +150,7 @@
     let mut lists = Vec::new();
     for i in 0..scenario.fleet.list_service as u16 {
         let end = End::ListService(i);
-        let process = Process::new(world, end, program("mapledeck-discovery")?, log(end));
+        let process = Process::new(world, end, order.lab.clone(), program("mapledeck-discovery")?, log(end));
         lists.push((process, Door::open(world, end).map_err(io)?));
     }
     let platform = if lists.is_empty() { Some(Platform::new(world).map_err(io)?) } else { None };
@@ -160,7 +161,7 @@
     };
     let gateways: Vec<Rc<Process>> = (0..scenario.fleet.gateways as u16)
         .map(End::Gateway)
-        .map(|end| Process::new(world, end, gateway.clone(), log(end)))
+        .map(|end| Process::new(world, end, order.lab.clone(), gateway.clone(), log(end)))
         .collect();
     let ports = Ports {
         lists: match &platform {
