Tell events structured, as text as before or as JSON, and follow one request through all processes

Need: lines of gateways, list service and lab could not be joined: none of them named a request.

Datagrams between processes pass through the lab.

--- a/discovery/src/config.rs
+++ b/discovery/src/config.rs
@@ -1,5 +1,6 @@
 //! What the service is told at its start: one file.
 
+use mapledeck_events::Log;
 use serde::Deserialize;
 use std::ffi::OsString;
 use std::net::SocketAddr;
@@ -26,6 +27,9 @@
     pub stale_ms: u64,
     #[serde(default)]
     pub limits: Limits,
+    /// How events are told on standard error.
+    #[serde(default)]
+    pub log: Log,
 }
 
 fn stale() -> u64 {
--- a/discovery/src/main.rs
+++ b/discovery/src/main.rs
@@ -8,34 +8,36 @@
 use config::Config;
 use mapledeck_discovery::journal::{Folder, Journal};
 use mapledeck_discovery::store::Store;
+use mapledeck_events::Log;
 use replicas::Role;
 use service::{unix_ms, Service};
 use std::fmt::Display;
-use std::io::{self, Write};
+use std::io;
 use std::process::ExitCode;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, LocalOptions};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::spawn_local;
+use tracing::{error, info, warn};
 
-/// Writes a line to standard error. Guards against `eprintln!`, which panics when nobody reads it any more.
-fn log(line: impl Display) {
-    drop(writeln!(io::stderr().lock(), "mapledeck-discovery: {line}"));
-}
+/// The name that lines for the operators begin with.
+const PROGRAM: &str = "mapledeck-discovery";
 
 fn main() -> ExitCode {
     let config = match Config::load(std::env::args_os().skip(1)) {
         Ok(config) => config,
         Err(e) => {
-            log(e);
+            mapledeck_events::begin(PROGRAM, Log::default());
+            error!("{e}");
             return ExitCode::from(2);
         }
     };
+    mapledeck_events::begin(PROGRAM, config.log);
     match begin(config) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            log(e);
+            error!("{e}");
             ExitCode::FAILURE
         }
     }
@@ -47,7 +49,7 @@
     let folder = folder.ok_or_else(|| place(&"another process has it"))?;
     let (mut journal, held) = Journal::open(folder).map_err(|e| place(&e))?;
     if held.cut > 0 {
-        log(format_args!("cut off {} bytes at the log's end that nobody was told of", held.cut));
+        warn!(bytes = held.cut, "cut off {} bytes at the log's end that nobody was told of", held.cut);
     }
     let mut store = Store::restore(held.image, held.records, Duration::ZERO);
     let role = Role::at_start(&config, &store);
@@ -65,14 +67,15 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let listener = TcpListener::bind(config.listen).await?;
     let listen = listener.local_addr()?;
-    log(format_args!("version {}, {} servers", store.version(), store.len()));
+    let (version, servers) = (store.version(), store.len());
+    info!(version, servers, "version {version}, {servers} servers");
     let service = Service::new(config, role, store, journal);
     let leases = service.clone();
     spawn_local(async move { leases.end_leases().await });
     let changes = service.clone();
     spawn_local(async move { changes.tell_changes().await });
     replicas::begin(&service);
-    log(format_args!("listening on {listen}"));
+    info!(addr = %listen, "listening on {listen}");
     tokio::select! {
         () = service.accept(&listener) => {}
         _ = terminate.recv() => {}
--- a/discovery/src/replicas.rs
+++ b/discovery/src/replicas.rs
@@ -4,7 +4,6 @@
 //! that one of a lower epoch writes no more, and that nobody tells a list that is older than stated.
 
 use crate::config::Config;
-use crate::log;
 use crate::service::Service;
 use mapledeck_discovery::http::{self, No, Replica, Replicated};
 use mapledeck_discovery::store::Store;
@@ -17,6 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout, Instant};
+use tracing::{info, warn};
 
 /// Peers are asked so often ...
 const ASK_EVERY: Duration = Duration::from_millis(500);
@@ -123,7 +123,7 @@
     pub fn superseded(&mut self, config: &Config, epoch: u64) {
         if let Role::Writes { superseded, .. } = self {
             if superseded.replace(epoch) != Some(epoch) {
-                log(format_args!("superseded: another process writes under epoch {epoch}"));
+                warn!(epoch, "superseded: another process writes under epoch {epoch}");
             }
             if let Some(writer) = config.follow {
                 *self = Role::Follows { writer, in_step: None };
@@ -137,7 +137,7 @@
             heard[peer] = Some(Instant::now());
             if !*confirmed && heard.iter().all(Option::is_some) {
                 *confirmed = true;
-                log("confirmed: no peer is at a higher epoch");
+                info!("confirmed: no peer is at a higher epoch");
             }
         }
     }
@@ -211,7 +211,7 @@
         match told.and_then(|told| service.replicate(told)) {
             Ok(()) => {
                 if std::mem::replace(&mut quiet, false) {
-                    log(format_args!("follows {writer} again"));
+                    info!(%writer, "follows {writer} again");
                 }
                 if let Role::Follows { in_step, .. } = &mut *service.role.borrow_mut() {
                     // What is told was so at the time of the call at the earliest.
@@ -221,7 +221,7 @@
             Err(e) => {
                 // One line for a whole outage.
                 if !std::mem::replace(&mut quiet, true) {
-                    log(format_args!("cannot follow {writer}: {e}"));
+                    warn!(%writer, error = %e, "cannot follow {writer}: {e}");
                 }
                 sleep(PAUSE).await;
             }
--- a/discovery/src/service.rs
+++ b/discovery/src/service.rs
@@ -1,7 +1,6 @@
 //! Connections to the store: calls carried out, watches that wait, leases that end.
 
 use crate::config::Config;
-use crate::log;
 use crate::replicas::Role;
 use mapledeck_discovery::format::Ask;
 use mapledeck_discovery::http::{self, No, Read, Replica, Replicated, Request, BODY_MOST, HEAD_MOST};
@@ -16,6 +15,7 @@
 use tokio::sync::{watch, Notify};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
+use tracing::{error, info, warn};
 
 /// A call that has begun has this long to come.
 const CALL_MOST: Duration = Duration::from_millis(2500);
@@ -137,7 +137,7 @@
                 Ok((stream, _)) => drop(spawn_local(self.clone().hear(stream))),
                 Err(e) => {
                     if !std::mem::replace(&mut logged, true) {
-                        log(format_args!("accept: {e}"));
+                        warn!(error = %e, "accept: {e}");
                     }
                     sleep(ACCEPT_PAUSE).await;
                 }
@@ -346,12 +346,12 @@
         let at = self.store.borrow().epoch();
         let record = record.ok_or_else(|| No::new(409, format!("epoch: this store is at {at}")))?;
         self.change(record).map_err(|e| {
-            log(format_args!("not written: {e}"));
+            error!(error = %e, "not written: {e}");
             No::busy("the promotion could not be written, and was not made")
         })?;
         self.store.borrow_mut().renew_all(self.now());
         self.role.replace(Role::promoted(&self.config));
-        log(format_args!("promoted: writes under epoch {epoch}"));
+        info!(epoch, "promoted: writes under epoch {epoch}");
         Ok(self.status())
     }
 
@@ -392,7 +392,7 @@
             Decision::Nothing => {}
             Decision::Renew(id) => self.store.borrow_mut().renew(&id, self.now()),
             Decision::Change(record) => self.change(record).map_err(|e| {
-                log(format_args!("not written: {e}"));
+                error!(error = %e, "not written: {e}");
                 No::busy("the change could not be written, and was not made")
             })?,
         }
@@ -432,7 +432,7 @@
         self.store.borrow_mut().apply(record, self.now());
         if journal.long() {
             if let Err(e) = journal.compact(&self.store.borrow().image()) {
-                log(format_args!("no snapshot was made: {e}"));
+                error!(error = %e, "no snapshot was made: {e}");
             }
         }
         self.leases.notify_one();
@@ -471,10 +471,10 @@
                 let Record::Gone { id, .. } = &record else { break };
                 let line = format!("the lease of {id:?} has ended");
                 if let Err(e) = self.change(record) {
-                    log(format_args!("not written: {e}"));
+                    error!(error = %e, "not written: {e}");
                     sleep(RETRY).await;
                 } else {
-                    log(line);
+                    info!("{line}");
                 }
             }
             let next = self
--- a/gateway/src/account.rs
+++ b/gateway/src/account.rs
@@ -1,12 +1,12 @@
 //! Budgets on the clock: what front, engine and upstream ask of a request's time, and what the operators are told of it.
 
 use crate::clock::Clock;
-use crate::log::log;
 use cherrypulley::Time;
 use mapledeck_budget::{Budget, End, Ledger};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
+use tracing::warn;
 
 /// What all accounts have in common.
 pub struct Accounts {
@@ -22,7 +22,7 @@
     pub fn new(clock: Clock, classes: Option<&[String]>) -> Rc<Accounts> {
         let ledger = classes.and_then(|classes| {
             let ledger = Ledger::new(classes);
-            ledger.map_err(|e| log(format_args!("no account is kept of requests' time: {e}"))).ok()
+            ledger.map_err(|e| warn!(error = %e, "no account is kept of requests' time: {e}")).ok()
         });
         Rc::new(Accounts { clock, end: Cell::new(None), ledger })
     }
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -4,6 +4,7 @@
 use cherrypulley_drill::Site;
 use mapledeck_discovery::client::Caution;
 use mapledeck_discovery::format::HostList;
+use mapledeck_events::Log;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -24,6 +25,9 @@
     /// The list of servers as this gateway last had it.
     pub known: Option<HostList>,
     pub settings: Site,
+    /// How events are told on standard error.
+    #[serde(default)]
+    pub log: Log,
 }
 
 #[derive(Clone, Debug, Deserialize)]
--- a/gateway/src/console.rs
+++ b/gateway/src/console.rs
@@ -2,7 +2,6 @@
 
 use crate::framing::{Framing, Heads};
 use crate::front::last_word;
-use crate::log::log;
 use crate::operations::{Call, Change, Operations, Refusal, Said};
 use crate::socket::{Io, Socket, Watch};
 use http_body_util::{BodyExt, Full, Limited};
@@ -20,6 +19,7 @@
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{sleep, timeout, timeout_at, Instant};
+use tracing::warn;
 
 /// Callers at once. When there are as many, whoever has gone longest without a whole call makes room ...
 pub const CALLERS: usize = 16;
@@ -75,7 +75,7 @@
                 Ok((stream, _)) => self.begin(stream),
                 Err(e) => {
                     if !std::mem::replace(&mut logged, true) {
-                        log(format_args!("console: accept: {e}"));
+                        warn!(error = %e, "console: accept: {e}");
                     }
                     sleep(ACCEPT_PAUSE).await;
                 }
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -1,7 +1,6 @@
 //! The list of servers: the names in it, and the watch that follows it.
 
 use crate::engine::Engine;
-use crate::log::log;
 use crate::upstream::{collect, Link};
 use cherrypulley::{Discovery as Method, Event, Lifecycle, Random, Scope, ServerId, ServerInfo, Time};
 use hyper::{Request, StatusCode};
@@ -15,6 +14,7 @@
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
+use tracing::{info, warn};
 
 /// How long a watch waits for news. What discovery says counts as told 2 s after that, so a short wait bounds
 /// how long a silent agent goes unnoticed; the agent is on this machine and a call costs nothing.
@@ -97,7 +97,7 @@
         }
         self.0.entry(number).or_insert_with(|| {
             // The decisions' own lines name servers by number.
-            log(format_args!("server {id} is number {number}"));
+            info!(server = %id, number, "server {id} is number {number}");
             Numbered { id: id.to_owned(), host: None, disabled: false, gone: None }
         });
         ServerId(number)
@@ -254,7 +254,7 @@
                 Entry::Readable(host) => host,
                 Entry::Spoilt(id) => {
                     if !std::mem::replace(&mut self.spoilt, true) {
-                        log(format_args!("discovery: an entry cannot be read, ignored from now on"));
+                        warn!("discovery: an entry cannot be read, ignored from now on");
                     }
                     let Some(known) = id
                         .map(|id| ids.number(&id))
@@ -395,7 +395,7 @@
             };
             // The old list stands. One line for a whole outage, however many calls fail in it.
             if !std::mem::replace(&mut quiet, true) {
-                log(format_args!("discovery: {cause}"));
+                warn!(cause = %cause, "discovery: {cause}");
             }
             if addresses.len() > 1 {
                 (at, link) = ((at + 1) % addresses.len(), None);
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -3,7 +3,6 @@
 use crate::account::Accounts;
 use crate::clock::Clock;
 use crate::handover::Links;
-use crate::log::log;
 use crate::upstream::{Ending, Order, Served, Upstream};
 use cherrypulley::{
     Action, AttemptNo, Elsewhere, Event, Gateway, NewRequest, Outcome, RequestId, ServerId, Status, Time,
@@ -19,6 +18,7 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{sleep, timeout};
+use tracing::{debug, info};
 
 /// A request's final answer.
 pub enum Answer {
@@ -33,6 +33,18 @@
     Broken,
 }
 
+impl Answer {
+    fn name(&self) -> &'static str {
+        match self {
+            Answer::Served(_) => "served",
+            Answer::Refused { .. } => "refused",
+            Answer::Failed => "failed",
+            Answer::Overdue => "overdue",
+            Answer::Broken => "broken",
+        }
+    }
+}
+
 struct Attempt {
     server: ServerId,
     sent: Time,
@@ -143,6 +155,12 @@
             answer: Some(answer),
             attempts: Vec::new(),
         };
+        debug!(
+            trace = open.order.trace(),
+            class = request.class.0,
+            customer = format_args!("{:016x}", request.customer.0),
+            "taken"
+        );
         self.open.borrow_mut().insert(id, open);
         if let Some(ends) = ends {
             self.set_timer(ends, Due::Answer(id));
@@ -158,9 +176,15 @@
         open.into_iter().for_each(|id| self.set_timer(end, Due::Answer(id)));
     }
 
+    /// The id that the client gave an open request.
+    fn trace(&self, id: RequestId) -> String {
+        self.open.borrow().get(&id).map_or_else(String::new, |open| open.order.trace().to_owned())
+    }
+
     /// The client has left without its answer.
     pub fn departed(&self, id: RequestId) {
         if self.finish(id).is_some() {
+            debug!(trace = self.trace(id), "its client has left");
             self.post(Event::Departed(id));
         }
     }
@@ -229,7 +253,7 @@
             Action::Timer { at, token } => self.set_timer(at, Due::Timer(token)),
             // The watch runs from the start and resumes by itself.
             Action::Subscribe => {}
-            Action::Log(text) => log(text),
+            Action::Log(text) => info!("{text}"),
         }
     }
 
@@ -241,6 +265,7 @@
     fn answer(&self, id: RequestId, answer: Answer) -> bool {
         if let Some(open) = self.open.borrow().get(&id).filter(|open| open.answer.is_some()) {
             open.order.account.answered(matches!(answer, Answer::Served(_)));
+            debug!(trace = open.order.trace(), how = answer.name(), "answered");
         }
         // Without a receiver the client has just left, and its connection will say so.
         self.finish(id).map(|client| drop(client.send(answer))).is_some()
@@ -276,6 +301,7 @@
             _ => None,
         };
         let out = task.is_some();
+        debug!(trace = open.order.trace(), attempt = attempt.0, server = server.0, out, "attempt");
         open.attempts.push(Attempt { server, sent: now, until, task });
         self.links.sent(|| Elsewhere::Sent {
             customer: open.request.customer,
@@ -355,6 +381,13 @@
         let mut last = false;
         if let Some(open) = self.open.borrow().get(&id) {
             open.order.account.waiting();
+            debug!(
+                trace = open.order.trace(),
+                attempt = attempt.0,
+                status = ?ending.status,
+                elapsed_us = elapsed.as_micros() as u64,
+                "attempt ended"
+            );
             last = open.order.body.flow().is_some_and(|flow| flow.spent());
             if let Some(Attempt { server, .. }) = open.attempts.get(attempt.0 as usize) {
                 let (customer, server) = (open.request.customer, *server);
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -4,7 +4,6 @@
 use crate::engine::{Answer, Engine};
 use crate::flow::{Flow, Pace, Passed, Sendable, Words, SHORT};
 use crate::framing::{Framing, Heads};
-use crate::log::log;
 use crate::socket::{Io, Socket, Watch};
 use crate::upstream::{more, Order, EXPIRES_IN, MAX_BODY};
 use cherrypulley::{ClassId, CustomerId, Effect, NewRequest, PlanId, RequestId};
@@ -29,6 +28,7 @@
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, timeout};
+use tracing::warn;
 
 /// Bounds of what a client may take its time with, in each case so that whoever says nothing, or not all, has an
 /// error or a close within three seconds: a head (the first one from the start of its connection) ...
@@ -296,7 +296,7 @@
                 // It may be the client's doing or want of descriptors; either way not to be retried at once.
                 Err(e) => {
                     if !std::mem::replace(&mut logged, true) {
-                        log(format_args!("accept: {e}"));
+                        warn!(error = %e, "accept: {e}");
                     }
                     if !self.engine.upstream.close_one_idle() {
                         self.close_one_idle();
--- a/gateway/src/handover.rs
+++ b/gateway/src/handover.rs
@@ -3,7 +3,6 @@
 
 use crate::discovery::Ids;
 use crate::engine::Engine;
-use crate::log::log;
 use crate::operations::{Change, Operations};
 use cherrypulley::{Elsewhere, Event, Gateway, Memory};
 use serde::{Deserialize, Serialize};
@@ -22,6 +21,7 @@
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
+use tracing::{info, warn};
 
 /// Form of what is handed over. Processes of other forms start afresh beside each other.
 const VERSION: u32 = 1;
@@ -126,12 +126,12 @@
     let path = place(listen);
     match timeout(ANSWER_MOST, ask(&path)).await {
         Ok(Ok(taken)) => {
-            log(format_args!("takes over from the process at {}", path.display()));
+            info!(path = %path.display(), "takes over from the process at {}", path.display());
             return Some(taken);
         }
         Ok(Err(e)) if e.kind() == io::ErrorKind::NotFound => {}
-        Ok(Err(e)) => log(format_args!("starts afresh: {}: {e}", path.display())),
-        Err(_) => log(format_args!("starts afresh: {}: no answer", path.display())),
+        Ok(Err(e)) => warn!(path = %path.display(), error = %e, "starts afresh: {}: {e}", path.display()),
+        Err(_) => warn!(path = %path.display(), "starts afresh: {}: no answer", path.display()),
     }
     None
 }
@@ -209,7 +209,7 @@
         let (sender, receiver) = mpsc::channel(NEWS_WAITING);
         // First in line, so that the news that follows is of what came after it.
         drop(sender.try_send(estate + "\n"));
-        log("hands over to a new process");
+        info!("hands over to a new process");
         self.exchange(peer, sender, receiver).await;
     }
 
@@ -249,6 +249,6 @@
             self.engine.post(Event::Elsewhere(Elsewhere::Gone));
             (self.shared)(false);
         }
-        log("the other process is gone");
+        info!("the other process is gone");
     }
 }
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -11,13 +11,11 @@
 mod framing;
 mod front;
 mod handover;
-mod log;
 mod operations;
 mod socket;
 mod system;
 mod upstream;
 
-use crate::log::log;
 use account::Accounts;
 use cherrypulley::Gateway;
 use clock::Clock;
@@ -27,6 +25,7 @@
 use engine::Engine;
 use front::Front;
 use handover::Handover;
+use mapledeck_events::Log;
 use operations::Operations;
 use std::cell::RefCell;
 use std::io;
@@ -40,8 +39,11 @@
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, Instant};
+use tracing::{error, info, warn};
 use upstream::Upstream;
 
+/// The name that lines for the operators begin with.
+const PROGRAM: &str = "mapledeck";
 /// After SIGTERM new connections come for up to 0.4 s; they are accepted for a while longer.
 const LINGER: Duration = Duration::from_millis(600);
 
@@ -49,13 +51,15 @@
     let config = match Config::load() {
         Ok(config) => config,
         Err(e) => {
-            log(e);
+            mapledeck_events::begin(PROGRAM, Log::default());
+            error!("{e}");
             return ExitCode::from(2);
         }
     };
+    mapledeck_events::begin(PROGRAM, config.log);
     // Before anything is opened: what it names is then not ours.
     let inherited = handover::inherited(config.listen).unwrap_or_else(|e| {
-        log(e);
+        warn!("{e}");
         None
     });
     let run = || {
@@ -65,7 +69,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            log(e);
+            error!("{e}");
             ExitCode::FAILURE
         }
     }
@@ -76,10 +80,10 @@
     while hangup.recv().await.is_some() {
         match Config::from_file() {
             Ok(config) => {
-                log(format_args!("new configuration, discovery at {}", config.discovery));
+                info!(discovery = %config.discovery, "new configuration, discovery at {}", config.discovery);
                 agents.send_replace(config.agents());
             }
-            Err(e) => log(format_args!("the old configuration stands: {e}")),
+            Err(e) => warn!(error = %e, "the old configuration stands: {e}"),
         }
     }
 }
@@ -101,7 +105,8 @@
         None => None,
     };
     if let Some(listener) = &console {
-        log(format_args!("console on {}", listener.local_addr()?));
+        let addr = listener.local_addr()?;
+        info!(%addr, "console on {addr}");
     }
     let (listener, replaceable) = match inherited {
         Some(listener) => (TcpListener::from_std(listener)?, true),
@@ -163,7 +168,7 @@
     if replaceable {
         match handover.offer(listen) {
             Ok(offering) => drop(spawn_local(offering)),
-            Err(e) => log(format_args!("the next process will start afresh: {e}")),
+            Err(e) => warn!(error = %e, "the next process will start afresh: {e}"),
         }
     }
     if let Some(listener) = console {
@@ -176,7 +181,7 @@
     let sweeps = engine.clone();
     spawn_local(async move { sweeps.run_sweeps().await });
 
-    log(format_args!("listening on {listen}"));
+    info!(addr = %listen, "listening on {listen}");
     tokio::select! {
         () = front.accept(&listener) => {}
         _ = terminate.recv() => {}
--- a/gateway/src/operations.rs
+++ b/gateway/src/operations.rs
@@ -3,11 +3,11 @@
 use crate::discovery::{Figures, Ids};
 use crate::engine::Engine;
 use crate::front::Front;
-use crate::log::log;
 use cherrypulley::{Event, Gateway};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::rc::Rc;
+use tracing::info;
 
 /// What is asked. A change asked for twice is made once.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -92,7 +92,7 @@
             Change::Drain => self.front.drain(),
             Change::Undrain => self.front.undrain(),
         }
-        log(format_args!("operators: {change:?}"));
+        info!(change = ?change, "operators: {change:?}");
         Ok(())
     }
 }
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -2,7 +2,6 @@
 
 use crate::account::Account;
 use crate::flow::{Outgoing, Passed, Piece, Sendable, Words, SHORT};
-use crate::log::log;
 use crate::socket::{Io, Socket};
 use cherrypulley::{Lifecycle, LoadReport, Scope, ServerId, ServerInfo, Status, Time};
 use http_body_util::{BodyExt, Limited};
@@ -20,6 +19,7 @@
 use tokio::sync::mpsc::Sender;
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::timeout;
+use tracing::warn;
 
 /// Bodies are at most this long, either way.
 pub const MAX_BODY: usize = 32 << 20;
@@ -129,6 +129,11 @@
 }
 
 impl Order {
+    /// The id that its client gave it; every request that comes this far has one.
+    pub fn trace(&self) -> &str {
+        self.headers.get("x-trace-id").and_then(|id| id.to_str().ok()).unwrap_or_default()
+    }
+
     /// How much of the body has been passed on; a short one goes out whole.
     pub fn passed(&self) -> Passed {
         self.body.flow().map_or(Passed::All, |flow| flow.passed())
@@ -541,7 +546,7 @@
         let value = headers.get(name)?;
         let read = value.to_str().ok().and_then(read);
         if read.is_none() && !self.malformed[kind].replace(true) {
-            log(format_args!("malformed {what} {value:?}, ignored from now on"));
+            warn!(what, value = ?value, "malformed {what} {value:?}, ignored from now on");
         }
         read
     }
--- /dev/null
+++ b/lab/src/follow.rs
@@ -0,0 +1,88 @@
+//! One request by its id: what clients and pay servers saw of it, and the lines that processes wrote of it, by time.
+//!
+//! Gateways tell of single requests only where their configuration has `log = { form = "json", requests = true }`.
+
+use crate::history::{Event, Reader, Trace};
+use crate::shell::run::HISTORY;
+use serde_json::Value;
+use std::collections::HashSet;
+use std::fs::{self, File};
+use std::io::{BufRead, BufReader};
+use std::path::Path;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Fields of a line that are told elsewhere, or always the same.
+const PLAIN: [&str; 5] = ["timestamp", "level", "message", "target", "trace"];
+
+/// Everything of an id, in order; the error says what cannot be read.
+pub fn follow(dir: &Path, id: &str) -> Result<Vec<String>, String> {
+    let trace =
+        Trace::from_str_radix(id, 16).map_err(|_| format!("{id:?} is no id of up to 16 hex digits"))?;
+    let mut lines = seen(&dir.join(HISTORY), trace)?;
+    let logs = dir.join("logs");
+    for entry in fs::read_dir(&logs).map_err(|e| format!("{}: {e}", logs.display()))?.flatten() {
+        let who =
+            entry.path().file_stem().map_or_else(String::new, |stem| stem.to_string_lossy().into_owned());
+        let file = File::open(entry.path()).map_err(|e| format!("{}: {e}", entry.path().display()))?;
+        let told = BufReader::new(file).lines().map_while(Result::ok).filter_map(|line| told(&line, trace));
+        lines.extend(told.map(|(at, what)| (at, who.clone(), what)));
+    }
+    lines.sort();
+    let begin = lines.first().map_or(UNIX_EPOCH, |(at, ..)| *at);
+    let since = |at: SystemTime| at.duration_since(begin).unwrap_or_default().as_secs_f64() * 1e3;
+    Ok(lines.into_iter().map(|(at, who, what)| format!("{:>10.3} ms  {who}: {what}", since(at))).collect())
+}
+
+type Line = (SystemTime, String, String);
+
+/// What the lab saw.
+fn seen(path: &Path, trace: Trace) -> Result<Vec<Line>, String> {
+    let (mut origin, mut lines, mut attempts) = (UNIX_EPOCH, Vec::new(), HashSet::new());
+    Reader::open(path)?
+        .each(|at| {
+            let mut add = |who: String, what: String| lines.push((at.at, who, what));
+            match &at.event {
+                Event::Setup(setup) => origin = UNIX_EPOCH + Duration::from_micros(setup.unix_us),
+                Event::Tried { trace: of, ask, gateway, wait, .. } if *of == trace => {
+                    add(
+                        "client".to_owned(),
+                        format!("request {ask} to gateways[{gateway}], waits {} ms", wait / 1_000_000),
+                    );
+                }
+                Event::Ended { trace: of, outcome } if *of == trace => {
+                    add("client".to_owned(), format!("{outcome:?}"));
+                }
+                Event::Afterwards { trace: of, answered } if *of == trace => {
+                    add("client".to_owned(), format!("after its time: answered {answered}"));
+                }
+                Event::Arrived { trace: of, attempt, server, gateway, .. } if *of == trace => {
+                    attempts.insert(*attempt);
+                    add(
+                        format!("pay_servers[{server}]"),
+                        format!("attempt {attempt} has come from gateways[{gateway}]"),
+                    );
+                }
+                Event::Ran { attempt } if attempts.contains(attempt) => {
+                    add("pay server".to_owned(), format!("attempt {attempt} runs"));
+                }
+                Event::Answered { attempt, answer } if attempts.contains(attempt) => {
+                    add("pay server".to_owned(), format!("attempt {attempt}: {answer:?}"));
+                }
+                _ => {}
+            }
+        })
+        .map_err(|e| format!("{}: {e}", path.display()))?;
+    let placed = lines.into_iter().map(|(at, who, what)| (origin + Duration::from_nanos(at), who, what));
+    Ok(placed.collect())
+}
+
+/// What a process wrote of it: when, and what.
+fn told(line: &str, trace: Trace) -> Option<(SystemTime, String)> {
+    let fields: Value = serde_json::from_str(line).ok()?;
+    let of = Trace::from_str_radix(fields.get("trace")?.as_str()?, 16).ok()?;
+    let at = humantime::parse_rfc3339(fields.get("timestamp")?.as_str()?).ok()?;
+    let rest = fields.as_object()?.iter().filter(|(name, _)| !PLAIN.contains(&name.as_str()));
+    let rest: Vec<String> = rest.map(|(name, value)| format!("{name}={value}")).collect();
+    let message = fields.get("message")?.as_str()?;
+    (of == trace).then(|| (at, format!("{message} {}", rest.join(" "))))
+}
--- a/lab/src/history.rs
+++ b/lab/src/history.rs
@@ -38,6 +38,8 @@
     pub faults: Vec<Drawn>,
     /// The load begins then; faults are counted from it.
     pub load_from: Nanos,
+    /// The wall clock at the history's zero, in Unix time in us: lines of processes tell theirs. Nothing is judged by it.
+    pub unix_us: u64,
 }
 
 /// How a try ended, as its client saw it.
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,7 +4,7 @@
 //! - [`scenario`], [`draw`], [`deployment`]: what is asked for, and what a seed makes of it.
 //! - [`stand`], [`link`]: the rules of the stand-ins and of the links, without I/O.
 //! - [`shell`]: all of that on sockets, and the processes.
-//! - [`history`], [`judge`], [`figures`], [`verdict`]: what happened, on disk, and what it comes to.
+//! - [`history`], [`judge`], [`figures`], [`verdict`], [`follow`]: what happened, on disk, and what it comes to.
 //! - [`report`], [`compare`]: the same for people.
 #![deny(unsafe_code)]
 
@@ -12,6 +12,7 @@
 pub mod deployment;
 pub mod draw;
 pub mod figures;
+pub mod follow;
 pub mod history;
 pub mod judge;
 pub mod link;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand};
+use mapledeck_lab::follow::follow;
 use mapledeck_lab::scenario::Scenario;
 use mapledeck_lab::shell::process::become_held;
 use mapledeck_lab::shell::run::{run, usual_dir, Failure, Order, SUMMARY};
@@ -52,6 +53,9 @@
         dir: PathBuf,
         #[arg(long)]
         json: bool,
+        /// Instead, all that clients, pay servers and processes tell of one id, by time
+        #[arg(long)]
+        trace: Option<String>,
     },
     /// Writes DIR/report.html: one file, readable on its own
     Report { dir: PathBuf },
@@ -101,7 +105,13 @@
             print!("{drawn}");
             Ok(HOLDS)
         }
-        Call::Check { dir, json } => {
+        Call::Check { dir, trace: Some(trace), .. } => {
+            for line in follow(&dir, &trace).map_err(Failure::Unusable)? {
+                println!("{line}");
+            }
+            Ok(HOLDS)
+        }
+        Call::Check { dir, json, trace: None } => {
             let (verdict, _) = judge(&dir).map_err(Failure::Unusable)?;
             Ok(tell(&verdict, json))
         }
--- a/lab/src/shell/run.rs
+++ b/lab/src/shell/run.rs
@@ -276,6 +276,7 @@
             coordinators: fleet.coordinators as u16,
             faults: deployment.faults.clone(),
             load_from,
+            unix_us: unix_us().saturating_sub(self.world.now() / 1000),
         }
     }
 
@@ -484,8 +485,7 @@
     async fn return_server(&self, number: u16) -> Result<(), String> {
         let port = self.servers[usize::from(number)].start(true);
         let port = port.map_err(|e| format!("{} cannot listen again: {e}", End::PayServer(number)))?;
-        let started =
-            SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64);
+        let started = unix_us() / 1000;
         self.places.borrow_mut()[usize::from(number)] = (port, started);
         self.world.record(Event::Lived { end: End::PayServer(number), life: Life::Started });
         if let Some(platform) = &self.platform {
@@ -675,6 +675,10 @@
     }
 }
 
+fn unix_us() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_micros() as u64)
+}
+
 /// Puts what a table has into another one, deep.
 fn merge(into: &mut Value, more: Value) {
     match (into, more) {
--- a/lab/tests/fleet.rs
+++ b/lab/tests/fleet.rs
@@ -141,6 +141,38 @@
     assert!(log.lines().all(|line| serde_json::from_str::<Value>(line).is_ok()));
 }
 
+/// With JSON and requests in the gateways' configuration one request is followed by its id through all that had to do with it.
+#[test]
+fn a_request_is_followed_by_its_id_through_all_processes() {
+    let folder = Folder::new();
+    let scenario = "[fleet]\npay_servers = 2\n[fleet.gateway_config.log]\nform = \"json\"\nrequests = true\n\
+                    [load]\nrate = 10.0\nduration_ms = 1000\n";
+    let (code, told, out) = play(&folder, scenario, 4);
+    assert_eq!(code, 0, "{told}");
+    let logs: String = (0..3)
+        .map(|i| fs::read_to_string(out.join(format!("logs/gateways[{i}].log"))).expect("a log"))
+        .collect();
+    let served = logs.lines().find(|line| line.contains("\"how\":\"served\"")).expect("one was served");
+    let line: Value = serde_json::from_str(served).expect("an object");
+    let followed =
+        text(&lab(&["check", &path(&out), "--trace", line["trace"].as_str().expect("an id")]).stdout);
+    let mut rest = followed.as_str();
+    for step in [
+        "client: request",
+        "taken",
+        "attempt",
+        "has come",
+        "runs",
+        "Served",
+        "answered",
+        "attempt ended",
+        "client: Served",
+    ] {
+        let at = rest.find(step).unwrap_or_else(|| panic!("no {step} in order in\n{followed}"));
+        rest = &rest[at + step.len()..];
+    }
+}
+
 /// The list service's processes are followed through links as well, and lose nothing that they acknowledged.
 #[test]
 fn the_list_service_is_part_of_the_fleet() {
--- a/lab/tests/history.rs
+++ b/lab/tests/history.rs
@@ -44,6 +44,7 @@
             probability: 0.0,
         }],
         load_from: 0,
+        unix_us: 0,
     }
 }
 
