Measure the lab alone, and let it say when it is too busy to be believed

Need: a rate that the machine does not bear must not pass for the fleet's doing.

Change: with no gateways clients ask the pay servers themselves; the history holds how busy the lab's thread was each second, and beyond 80% the verdict says so. Lines of processes are written at once: handed to other threads, those of 210 that started together took 1.8 processors for a second.

--- a/lab/src/deployment.rs
+++ b/lab/src/deployment.rs
@@ -230,7 +230,7 @@
 /// Customers of each plan, as many as give it its share of the use; then quotas are scaled so that the load is what these
 /// customers ask for.
 fn customers(scenario: &Scenario, rng: &mut ChaCha8Rng) -> (Vec<Customer>, Vec<Quota>) {
-    let (site, load, gateways) = (&scenario.site, &scenario.load, scenario.fleet.gateways as usize);
+    let (site, load, gateways) = (&scenario.site, &scenario.load, scenario.entries() as usize);
     let needed: Vec<f64> = site.plans.iter().map(|plan| plan.share / plan.rate).collect();
     let all: f64 = needed.iter().sum();
     let mut customers = Vec::new();
--- a/lab/src/figures.rs
+++ b/lab/src/figures.rs
@@ -63,6 +63,8 @@
     /// How late requests left, in ms: 99.9% were no later.
     pub late_p999_ms: f64,
     pub late_most_ms: f64,
+    /// The highest share of a second that its one thread was busy during the load.
+    pub busy_most: f64,
     /// Processor seconds.
     pub lab_cpu_s: f64,
     pub fleet_cpu_s: f64,
@@ -187,6 +189,9 @@
             Event::Lived { life: crate::history::Life::Crashed, .. } => self.crashes += 1,
             Event::FaultBegan { fault } => self.fault_began(at, *fault),
             Event::FaultOver { fault } => self.over.push((*fault, at)),
+            Event::Busy { cpu } if self.setup.is_some() => {
+                self.lab.busy_most = self.lab.busy_most.max(round(*cpu as f64 / SECOND as f64));
+            }
             Event::Finished { lab_cpu, fleet_cpu } => {
                 let s = |nanos: Nanos| nanos as f64 / SECOND as f64;
                 self.lab.lab_cpu_s = s(*lab_cpu);
--- a/lab/src/history.rs
+++ b/lab/src/history.rs
@@ -197,6 +197,10 @@
     Stalled {
         late: Nanos,
     },
+    /// Processor time that the lab's own process took in the second before.
+    Busy {
+        cpu: Nanos,
+    },
     /// Nothing follows.
     Finished {
         lab_cpu: Nanos,
--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -184,7 +184,8 @@
             | Event::Probed { .. }
             | Event::Fell { .. }
             | Event::Renewed { .. }
-            | Event::Counted { .. } => {}
+            | Event::Counted { .. }
+            | Event::Busy { .. } => {}
         }
     }
 
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -139,8 +139,8 @@
         &mut page,
         "the lab itself",
         format!(
-            "{} events; requests left {} ms late at 99.9%, {} ms at most; {} s of processor time, the fleet {} s, in {:.1} s",
-            s.lab.events, s.lab.late_p999_ms, s.lab.late_most_ms, s.lab.lab_cpu_s, s.lab.fleet_cpu_s, s.lab.wall_s
+            "{} events; up to {:.0}% of its thread; requests left {} ms late at 99.9%, {} ms at most; {} s of processor time, the fleet {} s, in {:.1} s",
+            s.lab.events, s.lab.busy_most * 100.0, s.lab.late_p999_ms, s.lab.late_most_ms, s.lab.lab_cpu_s, s.lab.fleet_cpu_s, s.lab.wall_s
         ),
     );
     let _ = write!(page, "</table><h2>Scenario</h2><pre>{}</pre></html>", escape(&setup.text));
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -24,7 +24,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Fleet {
-    /// Processes of the gateway, 1 to 300.
+    /// Processes of the gateway, 0 to 300. With 0 clients ask the pay servers themselves: what the lab alone can do.
     pub gateways: u32,
     /// Stand-ins of pay servers, 1 to 200.
     pub pay_servers: u32,
@@ -376,6 +376,14 @@
         Ok(scenario)
     }
 
+    /// Where clients' requests come in: at the gateways, or at the pay servers where there are none.
+    pub fn entries(&self) -> u32 {
+        match self.fleet.gateways {
+            0 => self.fleet.pay_servers,
+            gateways => gateways,
+        }
+    }
+
     /// How many of a kind there are.
     pub fn count(&self, kind: Kind) -> u32 {
         match kind {
@@ -390,7 +398,10 @@
 
     fn validate(&self) -> Result<(), String> {
         let Scenario { fleet, load, site, faults, expect } = self;
-        within("fleet.gateways", fleet.gateways, 1, GATEWAYS_MOST)?;
+        within("fleet.gateways", fleet.gateways, 0, GATEWAYS_MOST)?;
+        if fleet.gateways == 0 && !faults.is_empty() {
+            return Err("fault: without gateways the lab only measures itself".to_owned());
+        }
         within("fleet.pay_servers", fleet.pay_servers, 1, SERVERS_MOST)?;
         within("fleet.list_service", fleet.list_service, 0, LISTS_MOST)?;
         if fleet.coordinators != 0 {
--- a/lab/src/shell/clients.rs
+++ b/lab/src/shell/clients.rs
@@ -4,7 +4,7 @@
 use crate::history::{Event, Outcome, Trace};
 use crate::shell::process::Process;
 use crate::shell::relay::{relay, Watch};
-use crate::shell::World;
+use crate::shell::{address, World};
 use crate::stand::clients::{Arrival, Asking, Front, Manners, Next, Try};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -12,6 +12,7 @@
 use hyper::{HeaderMap, Request};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -38,9 +39,42 @@
     used: bool,
 }
 
+/// Where requests come in.
+pub enum Entry {
+    Gateway(Rc<Process>),
+    /// A pay server, where the fleet has no gateways; at the port that its place tells.
+    PayServer(u16, Rc<RefCell<Vec<(u16, u64)>>>),
+}
+
+impl Entry {
+    fn end(&self) -> End {
+        match self {
+            Entry::Gateway(process) => process.end,
+            Entry::PayServer(number, _) => End::PayServer(*number),
+        }
+    }
+
+    fn addr(&self) -> Option<SocketAddr> {
+        match self {
+            Entry::Gateway(process) => process.addr(),
+            Entry::PayServer(number, places) => {
+                let (port, _) = places.borrow()[usize::from(*number)];
+                Some((address::view(End::Clients), port).into())
+            }
+        }
+    }
+
+    fn losses(&self) -> u64 {
+        match self {
+            Entry::Gateway(process) => process.losses(),
+            Entry::PayServer(..) => 0,
+        }
+    }
+}
+
 pub struct Clients {
     world: Rc<World>,
-    gateways: Vec<Rc<Process>>,
+    entries: Vec<Entry>,
     front: RefCell<Front>,
     kept: RefCell<Vec<Vec<Kept>>>,
     manners: Manners,
@@ -54,13 +88,13 @@
 type Answer = Result<(u16, HeaderMap, Bytes), ()>;
 
 impl Clients {
-    pub fn new(world: &Rc<World>, gateways: Vec<Rc<Process>>) -> Rc<Clients> {
+    pub fn new(world: &Rc<World>, entries: Vec<Entry>) -> Rc<Clients> {
         Rc::new(Clients {
-            front: RefCell::new(Front::new(gateways.len())),
-            kept: RefCell::new(gateways.iter().map(|_| Vec::new()).collect()),
+            front: RefCell::new(Front::new(entries.len())),
+            kept: RefCell::new(entries.iter().map(|_| Vec::new()).collect()),
             manners: Manners::of(&world.scenario),
             world: world.clone(),
-            gateways,
+            entries,
             open: Cell::new(0),
             asked: Cell::new(0),
             served: Cell::new(0),
@@ -69,9 +103,10 @@
 
     /// A connection to a gateway, through the link between.
     async fn connect(&self, gateway: u16) -> Result<Kept, ()> {
-        let (world, to) = (self.world.clone(), End::Gateway(gateway));
+        let entry = &self.entries[usize::from(gateway)];
+        let (world, to) = (self.world.clone(), entry.end());
         world.until(|world| world.connects(End::Clients, to) || world.reset(End::Clients, to)).await;
-        let addr = self.gateways[usize::from(gateway)].addr();
+        let addr = entry.addr();
         let addr = addr.filter(|_| !world.reset(End::Clients, to)).ok_or(())?;
         let mut tcp = TcpStream::connect(addr).await.map_err(drop)?;
         drop(tcp.set_nodelay(true));
@@ -102,7 +137,7 @@
 
     /// The front admits a gateway once it says that it is up; and notices late that one has gone.
     pub async fn follow(self: Rc<Self>, gateway: u16) {
-        let process = self.gateways[usize::from(gateway)].clone();
+        let Entry::Gateway(process) = &self.entries[usize::from(gateway)] else { return };
         let mut state = process.watch();
         let notice = Duration::from_millis(self.world.scenario.site.notice_ms);
         loop {
@@ -196,8 +231,8 @@
         let until = world.instant(world.now() + next.wait);
         world.traces.borrow_mut().insert(trace, (customer, class));
         world.record(Event::Tried { ask, trace, gateway, wait: next.wait, back: next.back });
-        let process = &self.gateways[usize::from(gateway)];
-        let losses = process.losses();
+        let entry = &self.entries[usize::from(gateway)];
+        let losses = entry.losses();
         loop {
             let connection = match self.take(gateway) {
                 Some(kept) => Ok(kept),
@@ -233,7 +268,7 @@
                 Err(()) if used => {
                     // That it died is known a moment after its connections have ended.
                     tokio::time::sleep(DEATH_KNOWN).await;
-                    if process.losses() != losses && delivered.get() != before {
+                    if entry.losses() != losses && delivered.get() != before {
                         return (Outcome::Reset { first: false }, None);
                     }
                 }
--- a/lab/src/shell/pay_servers.rs
+++ b/lab/src/shell/pay_servers.rs
@@ -28,6 +28,8 @@
 /// What a connection's both sides hold at once.
 const PIPE: usize = 32 << 10;
 const BODY_MOST: usize = 64 << 10;
+/// The number of the gateway where clients ask pay servers themselves.
+const NO_GATEWAY: u16 = u16::MAX;
 /// Ids whose units were counted are remembered for this long.
 const COUNTED_KEPT: Nanos = 60 * SECOND;
 
@@ -159,22 +161,22 @@
     async fn accept(self: Rc<Self>, listener: &TcpListener) {
         while let Ok((tcp, _)) = listener.accept().await {
             let caller = tcp.local_addr().ok().and_then(|addr| address::caller(addr.ip()));
-            let Some(End::Gateway(gateway)) = caller else { continue };
+            let Some(from) = caller else { continue };
             // A machine holds only so many connections.
-            let from = End::Gateway(gateway);
             if self.connections.get() >= self.core.borrow().connections_most
                 || self.world.reset(from, self.end())
             {
                 tcp.abort();
                 continue;
             }
-            spawn_local(self.clone().connection(tcp, gateway));
+            spawn_local(self.clone().connection(tcp, from));
         }
     }
 
-    async fn connection(self: Rc<Self>, mut tcp: TcpStream, gateway: u16) {
+    async fn connection(self: Rc<Self>, mut tcp: TcpStream, from: End) {
         drop(tcp.set_nodelay(true));
-        let (from, to, number) = (End::Gateway(gateway), self.end(), self.world.number());
+        let (to, number) = (self.end(), self.world.number());
+        let gateway = if let End::Gateway(gateway) = from { gateway } else { NO_GATEWAY };
         self.world.record(Event::Opened { connection: number, from, to });
         self.connections.set(self.connections.get() + 1);
         let (mut outer, inner) = tokio::io::duplex(PIPE);
--- a/lab/src/shell/process.rs
+++ b/lab/src/shell/process.rs
@@ -6,14 +6,15 @@
 use rustix::process::{kill_process, Pid, Resource, Rlimit, Signal};
 use std::cell::{Cell, RefCell};
 use std::ffi::{OsStr, OsString};
-use std::io;
+use std::fs::{File, OpenOptions};
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, ChildStderr, Command};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -113,7 +114,7 @@
         self.stopped.set(false);
         self.state.send_replace(State::Starting(pid));
         self.record(Life::Started);
-        let log = tokio::fs::OpenOptions::new().create(true).append(true).open(&self.log).await;
+        let log = OpenOptions::new().create(true).append(true).open(&self.log);
         let log = log.map_err(|e| failed(&e))?;
         let mut listening = self.state.subscribe();
         spawn_local(self.clone().follow(pid, lines, log));
@@ -132,7 +133,7 @@
     }
 
     /// Keeps its lines, and finds where it listens.
-    async fn follow(self: Rc<Self>, pid: Pid, lines: ChildStderr, mut log: tokio::fs::File) {
+    async fn follow(self: Rc<Self>, pid: Pid, lines: ChildStderr, mut log: File) {
         let mut lines = BufReader::new(lines).split(b'\n');
         while let Ok(Some(mut line)) = lines.next_segment().await {
             line.truncate(LINE_MOST);
@@ -153,9 +154,9 @@
             }
             line.push(b'\n');
             // A log that cannot be written must not stop the process that writes it.
-            drop(log.write_all(&line).await);
+            // Written at once: handed to another thread, the lines of hundreds that start together cost as much as all else.
+            drop(log.write_all(&line));
         }
-        drop(log.flush().await);
     }
 
     async fn reap(self: Rc<Self>, mut child: Child) {
--- a/lab/src/shell/run.rs
+++ b/lab/src/shell/run.rs
@@ -3,7 +3,7 @@
 use crate::deployment::{Deployment, Drawn, End, Nanos, MS, SECOND};
 use crate::history::{Event, Life, Setup, Writer};
 use crate::scenario::{FaultKind, Scenario};
-use crate::shell::clients::Clients;
+use crate::shell::clients::{Clients, Entry};
 use crate::shell::lists::{lateness, list_process, place, Counts, Door, Platform};
 use crate::shell::pay_servers::{Fleet, Server};
 use crate::shell::process::{descriptors, Process};
@@ -17,6 +17,7 @@
 use hyper::Request;
 use hyper_util::rt::TokioIo;
 use mapledeck_discovery::format::{Host, State, Telling};
+use rustix::time::{clock_gettime, ClockId};
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -112,7 +113,7 @@
     counts: Option<Rc<Counts>>,
     servers: Vec<Rc<Server>>,
     /// Ports of the servers now, and when each was started, in Unix time; 0 for long ago.
-    places: RefCell<Vec<(u16, u64)>>,
+    places: Rc<RefCell<Vec<(u16, u64)>>>,
     /// Which servers have a process that renews its registration.
     registered: RefCell<Vec<bool>>,
     ports: Ports,
@@ -170,16 +171,21 @@
         },
         counter: counts.as_ref().map(|counts| counts.door.port),
     };
+    let places = Rc::new(RefCell::new(places));
+    let mut entries: Vec<Entry> = gateways.iter().cloned().map(Entry::Gateway).collect();
+    if entries.is_empty() {
+        entries = (0..servers.len() as u16).map(|i| Entry::PayServer(i, places.clone())).collect();
+    }
     let lab = Rc::new(Lab {
         world: world.clone(),
-        clients: Clients::new(world, gateways.clone()),
+        clients: Clients::new(world, entries),
         gateways,
         lists,
         platform,
         counts,
         registered: RefCell::new(vec![true; servers.len()]),
         servers,
-        places: RefCell::new(places),
+        places,
         ports,
         dir: order.dir.clone(),
         starts: Cell::new(0),
@@ -187,19 +193,19 @@
     });
     let result = lab.clone().play(order).await;
     lab.end().await;
-    world.record(Event::Finished { lab_cpu: cpu(14), fleet_cpu: cpu(16) });
+    world.record(Event::Finished { lab_cpu: own_cpu(ClockId::ProcessCPUTime), fleet_cpu: children_cpu() });
     world.flush()?;
     result
 }
 
-/// Processor time that the system reckons to this process (field 14 of its `stat`) or to children that have ended (16),
-/// user and system together; clock ticks are 10 ms on every machine that this runs on.
-fn cpu(field: usize) -> Nanos {
+/// Processor time of children that have ended, user and system together (fields 16 and 17 of this process's `stat`); clock
+/// ticks are 10 ms on every machine that this runs on.
+fn children_cpu() -> Nanos {
     let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
     // The name in parentheses may hold spaces; the third field follows it.
     let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
     let ticks = |i: usize| fields.get(i - 3).and_then(|ticks| ticks.parse::<u64>().ok()).unwrap_or(0);
-    (ticks(field) + ticks(field + 1)) * 10 * MS
+    (ticks(16) + ticks(17)) * 10 * MS
 }
 
 impl Lab {
@@ -691,8 +697,15 @@
     }
 }
 
-/// Tells when the lab's own clock was late.
+/// Processor time of this process so far, or of the one thread that does nearly all.
+fn own_cpu(of: ClockId) -> Nanos {
+    let time = clock_gettime(of);
+    time.tv_sec as Nanos * SECOND + time.tv_nsec as Nanos
+}
+
+/// Tells when the lab's own clock was late, and how busy it is.
 async fn heartbeat(world: Rc<World>) {
+    let (mut second, mut before) = (world.now(), own_cpu(ClockId::ThreadCPUTime));
     loop {
         let due = world.instant(world.now()) + HEARTBEAT;
         tokio::time::sleep_until(due).await;
@@ -700,6 +713,14 @@
         if late > LATE {
             world.record(Event::Stalled { late: late.as_nanos() as u64 });
         }
+        let now = world.now();
+        if now >= second + SECOND {
+            let cpu = own_cpu(ClockId::ThreadCPUTime);
+            // For a second that was longer than one, as much as of one.
+            let taken = (cpu - before) as f64 * SECOND as f64 / (now - second) as f64;
+            world.record(Event::Busy { cpu: taken as Nanos });
+            (second, before) = (now, cpu);
+        }
     }
 }
 
--- a/lab/src/verdict.rs
+++ b/lab/src/verdict.rs
@@ -8,6 +8,9 @@
 use std::collections::BTreeMap;
 use std::path::Path;
 
+/// Beyond this share of its thread the lab's own waits show in what it measures.
+const BUSY: f64 = 0.8;
+
 pub struct Verdict {
     pub findings: BTreeMap<&'static str, Finding>,
     pub summary: Summary,
@@ -96,6 +99,12 @@
         if s.crashes > 0 {
             lines.push(format!("BROKEN: {} processes ended by themselves", s.crashes));
         }
+        if s.lab.busy_most > BUSY {
+            lines.push(format!(
+                "the lab itself was up to {:.0}% busy: ask for a lower rate, or its figures are partly its own",
+                s.lab.busy_most * 100.0
+            ));
+        }
         lines.extend(self.missed.iter().map(|missed| format!("MISSED: {missed}")));
         lines
     }
--- a/lab/tests/scenarios.rs
+++ b/lab/tests/scenarios.rs
@@ -11,7 +11,11 @@
     let fault = |more: &str| format!("[[fault]]\nat_ms = 1000\n{more}");
     let cases = [
         ("[fleet]\ngatways = 3".to_owned(), "gatways"),
-        ("[fleet]\ngateways = 0".to_owned(), "fleet.gateways"),
+        (
+            "[fleet]\ngateways = 0\n[[fault]]\nat_ms = 1\nkind = \"stop\"\ntarget = \"pay_servers\""
+                .to_owned(),
+            "fault",
+        ),
         ("[fleet]\ngateways = 301".to_owned(), "fleet.gateways"),
         ("[fleet]\ncoordinators = 3".to_owned(), "fleet.coordinators"),
         ("[fleet]\nzones = []".to_owned(), "fleet.zones"),
