Test a full disk, a process that ends by itself, and want of descriptors in the lab

Need: three of the hard cases of the lab had no test.

Change: the three tests; list-full starts a pay server again while the disk is full, so that something must be written.

--- a/lab/tests/fleet.rs
+++ b/lab/tests/fleet.rs
@@ -207,6 +207,62 @@
     assert_eq!(lab(&["check", &path(&folder.0)]).status.code(), Some(2));
 }
 
+/// A full disk: what cannot be written is refused and said, and taken again once there is room.
+#[test]
+fn a_full_disk_is_a_fault_that_the_list_service_survives() {
+    let folder = Folder::new();
+    let scenario = "[fleet]\nlist_service = 1\npay_servers = 3\n[load]\nrate = 10.0\nduration_ms = 5000\n\
+                    [[fault]]\nat_ms = 500\nkind = \"full_disk\"\ntarget = \"list_service\"\nfor_ms = 2000\n\
+                    [[fault]]\nat_ms = 1000\nkind = \"restart\"\ntarget = \"pay_servers[0]\"\n";
+    let (code, told, out) = play(&folder, scenario, 5);
+    let log = fs::read_to_string(out.join("logs/list_service[0].log")).expect("a log");
+    assert!(code == 0 && log.contains("not written"), "{told}\n{log}");
+}
+
+/// One that ends by itself is no verdict's business but everybody's: it is counted, and the exit code says so.
+#[test]
+fn a_process_that_ends_by_itself_is_told() {
+    let folder = Folder::new();
+    let file = folder.scenario("[load]\nrate = 10.0\nduration_ms = 3000\n");
+    let out = folder.0.join("out");
+    let running = Command::new(LAB)
+        .args(["run", &path(&file), "--out", &path(&out), "--json"])
+        .stdout(std::process::Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    let log = out.join("logs/gateways[0].log");
+    until("a gateway listens", &|| fs::read_to_string(&log).is_ok_and(|log| log.contains("listening on")));
+    let one = children(running.id())[0].to_string();
+    assert!(Command::new("kill").args(["-KILL", &one]).status().expect("kill runs").success());
+    let ran = running.wait_with_output().expect("it ends");
+    let said = text(&ran.stdout);
+    // Killed while the others still start, the run does not begin; later it goes on without.
+    let told = ran.status.code() == Some(3) || said.contains("\"crashes\":1") && ran.status.code() == Some(1);
+    assert!(told, "{:?} {said}", ran.status);
+}
+
+#[test]
+fn want_of_descriptors_is_told_before_anything_starts() {
+    let folder = Folder::new();
+    let file = folder.scenario("[fleet]\ngateways = 100\n");
+    let out = folder.0.join("out");
+    let script = "ulimit -n 200; exec \"$0\" run \"$1\" --out \"$2\"";
+    let ran =
+        Command::new("sh").args(["-c", script, LAB, &path(&file), &path(&out)]).output().expect("it runs");
+    let said = text(&ran.stderr);
+    assert!(ran.status.code() == Some(3) && said.contains("descriptors, and the limit is 200"), "{said}");
+    assert!(!out.join("logs").exists());
+}
+
+/// Waits until something holds.
+fn until(what: &str, holds: &dyn Fn() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < Duration::from_secs(30), "waited too long until {what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
 /// Processes that live under this one's, by their parents.
 fn children(of: u32) -> Vec<u32> {
     let listed = fs::read_dir("/proc").expect("there").flatten();
@@ -225,13 +281,6 @@
     let out = folder.0.join("out");
     let mut running =
         Command::new(LAB).args(["run", &path(&file), "--out", &path(&out)]).spawn().expect("it starts");
-    let until = |what: &str, holds: &dyn Fn() -> bool| {
-        let begun = Instant::now();
-        while !holds() {
-            assert!(begun.elapsed() < Duration::from_secs(30), "waited too long until {what}");
-            std::thread::sleep(Duration::from_millis(10));
-        }
-    };
     let listens = |i: usize| {
         let log = fs::read_to_string(out.join("logs").join(format!("gateways[{i}].log")));
         log.is_ok_and(|log| log.contains("listening on"))
