--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -1,10 +1,13 @@
-//! Coordination: sessions, locks with fencing tokens, small values and watches.
+//! Coordination: sessions, locks with fencing tokens, small values and watches, on a log that a majority agrees on.
 //!
 //! - [`state`]: the state machine, pure and deterministic; commands in, results out.
 //! - [`lease`]: when a session ends, for the service and, earlier, for its holder.
 //! - [`fence`]: the place that takes an effect, and remembers the highest token.
+//! - [`raft`], [`storage`]: the consensus crate's view of the state machine, and the log on a disk.
 #![forbid(unsafe_code)]
 
 pub mod fence;
 pub mod lease;
+pub mod raft;
 pub mod state;
+pub mod storage;
--- /dev/null
+++ b/coordination/src/raft.rs
@@ -0,0 +1,154 @@
+//! What the consensus crate is told of this service: the types of commands and answers, the state machine, and its snapshots.
+
+use crate::state::{Command, Outcome, State};
+use crate::storage::{LogStore, Stored};
+use openraft::storage::RaftStateMachine;
+use openraft::{
+    BasicNode, Entry, EntryPayload, LogId, OptionalSend, RaftSnapshotBuilder, Snapshot, SnapshotMeta,
+    StorageError, StorageIOError, StoredMembership,
+};
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::io::Cursor;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// Drawn at random when a process' folder is made: whoever lost its disk is somebody else.
+pub type NodeId = u64;
+
+/// What became of a command.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reply(pub Option<Outcome>);
+
+openraft::declare_raft_types!(
+    pub Types:
+        D = Command,
+        R = Reply,
+        NodeId = NodeId,
+        Node = BasicNode,
+        Entry = Entry<Types>,
+        SnapshotData = Cursor<Vec<u8>>,
+        AsyncRuntime = openraft::TokioRuntime,
+);
+
+pub type Raft = openraft::Raft<Types>;
+
+/// The state as of an entry of the log.
+#[derive(Clone, Debug, Default)]
+struct Applied {
+    state: State,
+    last: Option<LogId<NodeId>>,
+    membership: StoredMembership<NodeId, BasicNode>,
+}
+
+/// The state machine, shared with whoever reads it.
+#[derive(Clone)]
+pub struct Machine {
+    applied: Rc<RefCell<Applied>>,
+    log: LogStore,
+    /// Something was applied.
+    pub changed: Rc<Notify>,
+}
+
+impl Machine {
+    /// As the last snapshot has it; what was committed behind it is applied again by the consensus.
+    pub fn open(log: LogStore) -> Result<Machine, String> {
+        let applied = match log.snapshot()? {
+            Some(stored) => Applied {
+                state: State::restore(&stored.state)?,
+                last: stored.meta.last_log_id,
+                membership: stored.meta.last_membership,
+            },
+            None => Applied::default(),
+        };
+        Ok(Machine { applied: Rc::new(RefCell::new(applied)), log, changed: Rc::new(Notify::new()) })
+    }
+
+    /// Looks at the state as this process has it by now.
+    pub fn with<T>(&self, look: impl FnOnce(&State) -> T) -> T {
+        look(&self.applied.borrow().state)
+    }
+}
+
+fn failed(e: String) -> StorageError<NodeId> {
+    StorageIOError::write_snapshot(None, openraft::AnyError::error(e)).into()
+}
+
+impl RaftSnapshotBuilder<Types> for Machine {
+    async fn build_snapshot(&mut self) -> Result<Snapshot<Types>, StorageError<NodeId>> {
+        let (bytes, meta) = {
+            let applied = self.applied.borrow();
+            let number = applied.last.map_or(0, |last| last.index);
+            let meta = SnapshotMeta {
+                last_log_id: applied.last,
+                last_membership: applied.membership.clone(),
+                snapshot_id: format!("{number}-{}", rand::random::<u32>()),
+            };
+            (applied.state.snapshot().map_err(failed)?, meta)
+        };
+        let stored = Stored { meta: meta.clone(), state: bytes.clone() };
+        self.log.keep_snapshot(stored).await.map_err(|e| failed(e.to_string()))?;
+        Ok(Snapshot { meta, snapshot: Box::new(Cursor::new(bytes)) })
+    }
+}
+
+impl RaftStateMachine<Types> for Machine {
+    type SnapshotBuilder = Machine;
+
+    async fn applied_state(
+        &mut self,
+    ) -> Result<(Option<LogId<NodeId>>, StoredMembership<NodeId, BasicNode>), StorageError<NodeId>> {
+        let applied = self.applied.borrow();
+        Ok((applied.last, applied.membership.clone()))
+    }
+
+    async fn apply<I>(&mut self, entries: I) -> Result<Vec<Reply>, StorageError<NodeId>>
+    where
+        I: IntoIterator<Item = Entry<Types>> + OptionalSend,
+        I::IntoIter: OptionalSend,
+    {
+        let mut applied = self.applied.borrow_mut();
+        let mut replies = Vec::new();
+        for entry in entries {
+            applied.last = Some(entry.log_id);
+            replies.push(match entry.payload {
+                EntryPayload::Blank => Reply::default(),
+                EntryPayload::Normal(command) => Reply(applied.state.apply(&command)),
+                EntryPayload::Membership(membership) => {
+                    applied.membership = StoredMembership::new(Some(entry.log_id), membership);
+                    Reply::default()
+                }
+            });
+        }
+        self.changed.notify_waiters();
+        Ok(replies)
+    }
+
+    async fn get_snapshot_builder(&mut self) -> Machine {
+        self.clone()
+    }
+
+    async fn begin_receiving_snapshot(&mut self) -> Result<Box<Cursor<Vec<u8>>>, StorageError<NodeId>> {
+        Ok(Box::default())
+    }
+
+    async fn install_snapshot(
+        &mut self,
+        meta: &SnapshotMeta<NodeId, BasicNode>,
+        snapshot: Box<Cursor<Vec<u8>>>,
+    ) -> Result<(), StorageError<NodeId>> {
+        let bytes = snapshot.into_inner();
+        let state = State::restore(&bytes).map_err(failed)?;
+        let stored = Stored { meta: meta.clone(), state: bytes };
+        self.log.keep_snapshot(stored).await.map_err(|e| failed(e.to_string()))?;
+        let (last, membership) = (meta.last_log_id, meta.last_membership.clone());
+        self.applied.replace(Applied { state, last, membership });
+        self.changed.notify_waiters();
+        Ok(())
+    }
+
+    async fn get_current_snapshot(&mut self) -> Result<Option<Snapshot<Types>>, StorageError<NodeId>> {
+        let stored = self.log.snapshot().map_err(failed)?;
+        Ok(stored.map(|stored| Snapshot { meta: stored.meta, snapshot: Box::new(Cursor::new(stored.state)) }))
+    }
+}
