Run coordination as processes: consensus over sockets, sessions, a client, an operator's command line

Need: what the state machine promises must hold between processes that are killed, stopped, restarted and lose their disks.

--- a/coordination/src/lease.rs
+++ b/coordination/src/lease.rs
@@ -72,7 +72,7 @@
     /// renewal in the instant of its end comes too late, as its end may have been proposed already.
     pub fn renewed(&mut self, now: Instant, id: SessionId) -> bool {
         match self.ends.get_mut(&id) {
-            Some((ends, ttl)) if now < *ends => {
+            Some((ends, ttl)) if now < *ends && !ttl.is_zero() => {
                 *ends = now + *ttl;
                 true
             }
@@ -80,6 +80,21 @@
         }
     }
 
+    /// Whether a session has a time.
+    pub fn knows(&self, id: SessionId) -> bool {
+        self.ends.contains_key(&id)
+    }
+
+    /// A session's time is over, and its end is about to be proposed: no renewal saves it any more, and it is not over twice.
+    pub fn give_up(&mut self, id: SessionId) {
+        self.ends.insert(id, (Instant::MAX, Duration::ZERO));
+    }
+
+    /// Only sessions that there are have a time.
+    pub fn keep(&mut self, lives: impl Fn(SessionId) -> bool) {
+        self.ends.retain(|id, _| lives(*id));
+    }
+
     pub fn ended(&mut self, id: SessionId) {
         self.ends.remove(&id);
     }
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -4,10 +4,15 @@
 //! - [`lease`]: when a session ends, for the service and, earlier, for its holder.
 //! - [`fence`]: the place that takes an effect, and remembers the highest token.
 //! - [`raft`], [`storage`]: the consensus crate's view of the state machine, and the log on a disk.
+//! - [`wire`], [`peers`], [`service`], [`client`]: frames, processes among each other, one process, and its clients.
 #![forbid(unsafe_code)]
 
+pub mod client;
 pub mod fence;
 pub mod lease;
+pub mod peers;
 pub mod raft;
+pub mod service;
 pub mod state;
 pub mod storage;
+pub mod wire;
--- /dev/null
+++ b/coordination/src/service.rs
@@ -0,0 +1,528 @@
+//! One process of the service: the consensus, who leads, sessions' times, and calls that come over connections.
+
+use crate::lease::{Instant as LeaseInstant, Leases};
+use crate::peers::Peers;
+use crate::raft::{Machine, NodeId, Raft};
+use crate::state::{ClientId, Command, News, Op, Refused, SessionId, Token};
+use crate::storage::LogStore;
+use crate::wire::{
+    read, write, Broken, LockLine, Message, Request, Response, SessionLine, Status, IN_FLIGHT, PAYLOAD_MOST,
+};
+use openraft::error::{ClientWriteError, RaftError};
+use openraft::{BasicNode, ChangeMembers, Config, ServerState, SnapshotPolicy};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::io::BufReader;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, Semaphore};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout, Instant};
+use tracing::{info, warn};
+
+/// The leader looks for sessions that are over this often.
+const LOOK_EVERY: Duration = Duration::from_millis(25);
+/// The longest that a watch waits.
+const WATCH_MOST: Duration = Duration::from_secs(60);
+/// A part of a snapshot that is handed out at once.
+const PART: usize = 1 << 20;
+/// How many tokens a millisecond of the wall clock stands for: more than are ever given in one.
+const TOKENS_PER_MS: Token = 1024;
+
+/// How a process is set up.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// By which the others and clients reach it.
+    pub addr: String,
+    /// Heartbeats of the leader.
+    pub heartbeat: Duration,
+    /// Without a heartbeat for this long, and up to twice as long by chance, another process asks to lead.
+    pub election: Duration,
+    /// Entries after which a snapshot is made.
+    pub snapshot_every: u64,
+    /// Connections, and calls without an answer, at once.
+    pub connections: usize,
+    pub calls: usize,
+}
+
+pub struct Service {
+    settings: Settings,
+    pub raft: Raft,
+    machine: Machine,
+    log: LogStore,
+    cluster: Rc<Cell<u64>>,
+    origin: Instant,
+    /// Sessions' times; only while this process leads and has all that was agreed on before.
+    leases: RefCell<Option<Leases>>,
+    confirms: mpsc::Sender<oneshot::Sender<bool>>,
+    calls: Semaphore,
+    connections: Arc<Semaphore>,
+    dropped: Cell<u64>,
+    snapshot: RefCell<Vec<u8>>,
+    /// When a client was last heard of, for forgetting those that are long gone.
+    heard: RefCell<BTreeMap<ClientId, Instant>>,
+}
+
+/// A client that has not called for so long is forgotten, with the answers kept for it.
+const FORGET_AFTER: Duration = Duration::from_secs(3600);
+
+impl Service {
+    /// Starts the consensus on a store; the error is one line.
+    pub async fn start(settings: Settings, log: LogStore) -> Result<Rc<Service>, String> {
+        let machine = Machine::open(log.clone())?;
+        let identity = log.identity();
+        let cluster = Rc::new(Cell::new(identity.cluster));
+        let ms = |duration: Duration| u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+        let config = Config {
+            cluster_name: "coordination".to_owned(),
+            heartbeat_interval: ms(settings.heartbeat),
+            election_timeout_min: ms(settings.election),
+            election_timeout_max: ms(settings.election * 2),
+            install_snapshot_timeout: 5000,
+            max_payload_entries: 256,
+            replication_lag_threshold: settings.snapshot_every * 2,
+            snapshot_policy: SnapshotPolicy::LogsSinceLast(settings.snapshot_every),
+            snapshot_max_chunk_size: PART as u64,
+            max_in_snapshot_log_to_keep: settings.snapshot_every,
+            ..Config::default()
+        };
+        let config = config.validate().map_err(|e| e.to_string())?;
+        let peers = Peers { cluster: cluster.clone() };
+        let raft = Raft::new(identity.node, Arc::new(config), peers, log.clone(), machine.clone()).await;
+        let raft = raft.map_err(|e| e.to_string())?;
+        let (confirms, confirming) = mpsc::channel(IN_FLIGHT);
+        let service = Rc::new(Service {
+            calls: Semaphore::new(settings.calls),
+            connections: Arc::new(Semaphore::new(settings.connections)),
+            settings,
+            raft,
+            machine,
+            log,
+            cluster,
+            origin: Instant::now(),
+            leases: RefCell::new(None),
+            confirms,
+            dropped: Cell::new(0),
+            snapshot: RefCell::default(),
+            heard: RefCell::default(),
+        });
+        spawn_local(confirm(service.raft.clone(), confirming));
+        let leading = Rc::downgrade(&service);
+        spawn_local(async move {
+            // It ends with the service.
+            while let Some(service) = leading.upgrade() {
+                service.look().await;
+                drop(service);
+                sleep(LOOK_EVERY).await;
+            }
+        });
+        Ok(service)
+    }
+
+    fn now(&self) -> LeaseInstant {
+        self.origin.elapsed()
+    }
+
+    fn leads(&self) -> bool {
+        self.raft.metrics().borrow().state == ServerState::Leader
+    }
+
+    /// Whether the consensus has ended for good, as the store failed.
+    pub fn failed(&self) -> Option<String> {
+        self.raft.metrics().borrow().running_state.as_ref().err().map(ToString::to_string)
+    }
+
+    /// The leader's regular look: it takes up its office, ends sessions, and forgets clients.
+    async fn look(&self) {
+        if !self.leads() {
+            if self.leases.replace(None).is_some() {
+                info!("no longer leads");
+            }
+            return;
+        }
+        if self.leases.borrow().is_none() {
+            self.begin_to_lead().await;
+            return;
+        }
+        let now = self.now();
+        let over: Vec<SessionId> = {
+            let mut leases = self.leases.borrow_mut();
+            let Some(leases) = leases.as_mut() else { return };
+            // Sessions that were opened since; their time begins no earlier than they were.
+            self.machine.with(|state| {
+                for (id, session) in state.sessions() {
+                    if !leases.knows(id) {
+                        leases.opened(now, id, Duration::from_millis(session.ttl_ms.into()));
+                    }
+                }
+                leases.keep(|id| state.has_session(id));
+            });
+            let over: Vec<SessionId> = leases.over(now).collect();
+            // From here on no renewal saves them, whatever becomes of the command.
+            over.iter().for_each(|id| leases.give_up(*id));
+            over
+        };
+        if !over.is_empty() {
+            info!(sessions = over.len(), "{} sessions are over", over.len());
+            if self.raft.client_write(Command::End { sessions: over }).await.is_err() {
+                // Whoever leads next gives them their full time again.
+                self.leases.replace(None);
+            }
+        }
+        let gone: Vec<ClientId> = {
+            let heard = self.heard.borrow();
+            heard.iter().filter(|(_, at)| at.elapsed() > FORGET_AFTER).map(|(id, _)| *id).take(256).collect()
+        };
+        if !gone.is_empty() {
+            self.heard.borrow_mut().retain(|id, _| !gone.contains(id));
+            drop(self.raft.client_write(Command::Forget { clients: gone }).await);
+        }
+    }
+
+    /// All that was agreed on before is applied first; then tokens go on above the present time, and every session has its full
+    /// time again.
+    async fn begin_to_lead(&self) {
+        let floor = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64);
+        let token = floor.saturating_mul(TOKENS_PER_MS);
+        if self.raft.client_write(Command::Floor { token }).await.is_err() || !self.leads() {
+            return;
+        }
+        let now = self.now();
+        let sessions = self.machine.with(|state| {
+            let ttl = |ms: u32| Duration::from_millis(ms.into());
+            state.sessions().map(|(id, session)| (id, ttl(session.ttl_ms))).collect::<Vec<_>>()
+        });
+        info!(sessions = sessions.len(), "leads, with {} sessions", sessions.len());
+        self.leases.replace(Some(Leases::begin(now, sessions.into_iter())));
+    }
+
+    /// Accepts connections until dropped.
+    pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let Ok(place) = self.connections.clone().try_acquire_owned() else { continue };
+                    let service = self.clone();
+                    spawn_local(async move {
+                        service.converse(stream).await;
+                        drop(place);
+                    });
+                }
+                Err(e) => {
+                    warn!(error = %e, "accept: {e}");
+                    sleep(Duration::from_millis(20)).await;
+                }
+            }
+        }
+    }
+
+    async fn converse(self: Rc<Self>, stream: TcpStream) {
+        if stream.set_nodelay(true).is_err() {
+            return;
+        }
+        let (read_half, mut write_half) = stream.into_split();
+        let mut from = BufReader::new(read_half);
+        let (answers, mut answered) = mpsc::channel::<(u64, Response)>(IN_FLIGHT);
+        let cluster = self.cluster.clone();
+        let writer = spawn_local(async move {
+            while let Some((number, response)) = answered.recv().await {
+                if write(&mut write_half, cluster.get(), &Message::Answer(number, response)).await.is_err() {
+                    return;
+                }
+            }
+        });
+        loop {
+            match read(&mut from).await {
+                Ok((cluster, Message::Ask(number, request))) => {
+                    if !self.admits(cluster, &request) {
+                        self.drops("of another cluster");
+                        break;
+                    }
+                    // A reader that takes no answers is not read from either: the answers' queue is full then.
+                    let Ok(place) = answers.clone().reserve_owned().await else { break };
+                    let service = self.clone();
+                    spawn_local(async move { drop(place.send((number, service.answer(request).await))) });
+                }
+                Ok((_, Message::Answer(..))) => {
+                    self.drops("an answer to nothing");
+                    break;
+                }
+                Err(Broken::Strange(why)) => {
+                    self.drops(why);
+                    break;
+                }
+                Err(Broken::Ended(_)) => break,
+            }
+        }
+        drop(answers);
+        // What is asked already is answered, as long as somebody reads it.
+        drop(timeout(WATCH_MOST, writer).await);
+    }
+
+    fn drops(&self, why: &'static str) {
+        self.dropped.set(self.dropped.get() + 1);
+        warn!(why, "a connection is closed: {why}");
+    }
+
+    /// Before a process is of a cluster it only says who it is, and joins; afterwards it hears its own alone.
+    fn admits(&self, cluster: u64, request: &Request) -> bool {
+        let own = self.cluster.get();
+        match request {
+            Request::Identity | Request::Join { .. } | Request::Status => true,
+            _ => own != 0 && cluster == own,
+        }
+    }
+
+    /// Whether this process still leads, shown by a majority after this call came.
+    async fn confirmed(&self) -> bool {
+        let (confirmed, waits) = oneshot::channel();
+        self.confirms.send(confirmed).await.is_ok() && waits.await.unwrap_or(false)
+    }
+
+    fn not_leader(&self) -> Response {
+        let metrics = self.raft.metrics().borrow().clone();
+        let leader = metrics.current_leader.filter(|leader| *leader != metrics.id);
+        let members = metrics.membership_config.membership().clone();
+        Response::NotLeader {
+            leader: leader.and_then(|leader| members.get_node(&leader).map(|node| node.addr.clone())),
+        }
+    }
+
+    async fn answer(self: &Rc<Self>, request: Request) -> Response {
+        match request {
+            // The consensus bounds its own calls: one for each process at a time.
+            Request::Append(rpc) => return Response::Append(self.raft.append_entries(rpc).await),
+            Request::Vote(rpc) => return Response::Vote(self.raft.vote(rpc).await),
+            Request::Install(rpc) => return Response::Install(self.raft.install_snapshot(rpc).await),
+            _ => {}
+        }
+        let Ok(_place) = self.calls.try_acquire() else { return Response::Busy { after_ms: 200 } };
+        match request {
+            Request::Identity => {
+                Response::Identity { node: self.log.identity().node, cluster: self.cluster.get() }
+            }
+            Request::Join { cluster } => self.join(cluster).await,
+            Request::Begin { members } => {
+                let members: BTreeMap<NodeId, BasicNode> =
+                    members.into_iter().map(|(node, addr)| (node, BasicNode::new(addr))).collect();
+                done(self.raft.initialize(members).await)
+            }
+            Request::Add { node, addr } => self.add(node, addr).await,
+            Request::Remove { node } => {
+                let without = ChangeMembers::RemoveVoters(BTreeSet::from([node]));
+                self.changed(self.raft.change_membership(without, false).await)
+            }
+            Request::Call { client, number, done, op } => self.call(client, number, done, op).await,
+            Request::Renew { sessions } => self.renew(sessions).await,
+            Request::Read { prefix, stale } => self.read(&prefix, stale).await,
+            Request::Watch { prefix, since, wait_ms } => {
+                let wait = Duration::from_millis(wait_ms.into()).min(WATCH_MOST);
+                self.watch(&prefix, since, wait).await
+            }
+            Request::Status => Response::Status(self.status()),
+            Request::Locks => self.machine.with(|state| {
+                let who: BTreeMap<SessionId, String> =
+                    state.sessions().map(|(id, session)| (id, session.name.clone())).collect();
+                let line = |(name, lock): (&str, &crate::state::Lock)| {
+                    let (holder, token) = lock.holder?;
+                    let waiting = lock.waiting.len() as u32;
+                    let who = who.get(&holder).cloned().unwrap_or_default();
+                    Some(LockLine { name: name.to_owned(), holder, who, token, waiting })
+                };
+                Response::Locks(state.locks().filter_map(line).take(LINES).collect())
+            }),
+            Request::Sessions => self.machine.with(|state| {
+                let line = |(id, session): (SessionId, &crate::state::Session)| SessionLine {
+                    id,
+                    who: session.name.clone(),
+                    ttl_ms: session.ttl_ms,
+                    locks: session.locks().len() as u32,
+                };
+                Response::Sessions(state.sessions().map(line).take(LINES).collect())
+            }),
+            Request::Snapshot { from } => self.part(from).await,
+            Request::Append(_) | Request::Vote(_) | Request::Install(_) => {
+                Response::No("answered above".into())
+            }
+        }
+    }
+
+    async fn join(&self, cluster: u64) -> Response {
+        match (self.cluster.get(), cluster) {
+            (_, 0) => Response::No("cluster: 0 names none".to_owned()),
+            (own, cluster) if own == cluster => Response::Done,
+            (0, cluster) => match self.log.join(cluster).await {
+                Ok(()) => {
+                    self.cluster.set(cluster);
+                    Response::Done
+                }
+                Err(e) => Response::Unknown(e.to_string()),
+            },
+            (own, _) => Response::No(format!("this process is of cluster {own:016x}")),
+        }
+    }
+
+    /// A new process first learns all there is, without a vote; then it is a member.
+    async fn add(&self, node: NodeId, addr: String) -> Response {
+        if let Err(e) = self.raft.add_learner(node, BasicNode::new(addr), true).await {
+            return self.refused(e);
+        }
+        let with = ChangeMembers::AddVoterIds(BTreeSet::from([node]));
+        self.changed(self.raft.change_membership(with, false).await)
+    }
+
+    fn changed<T>(
+        &self,
+        result: Result<T, RaftError<NodeId, ClientWriteError<NodeId, BasicNode>>>,
+    ) -> Response {
+        result.map_or_else(|e| self.refused(e), |_| Response::Done)
+    }
+
+    fn refused(&self, e: RaftError<NodeId, ClientWriteError<NodeId, BasicNode>>) -> Response {
+        match e {
+            RaftError::APIError(ClientWriteError::ForwardToLeader(_)) => self.not_leader(),
+            RaftError::APIError(e) => Response::No(e.to_string()),
+            // It may be in the log all the same.
+            RaftError::Fatal(e) => Response::Unknown(e.to_string()),
+        }
+    }
+
+    async fn call(&self, client: ClientId, number: u64, done: u64, op: Op) -> Response {
+        if self.leases.borrow().is_none() {
+            return if self.leads() { Response::Busy { after_ms: 50 } } else { self.not_leader() };
+        }
+        self.heard.borrow_mut().insert(client, Instant::now());
+        match self.raft.client_write(Command::Call { client, number, done, op }).await {
+            Ok(written) => match written.data.0 {
+                Some(Err(Refused::Busy(after_ms))) => Response::Busy { after_ms },
+                Some(outcome) => Response::Outcome(outcome),
+                None => Response::Unknown("a call had no outcome".to_owned()),
+            },
+            Err(e) => self.refused(e),
+        }
+    }
+
+    /// Renewals are not in the log. A majority must have confirmed the leader after the call came: whoever leads after it
+    /// gives every session its full time, from later on.
+    async fn renew(&self, sessions: Vec<SessionId>) -> Response {
+        let came = self.now();
+        if !self.confirmed().await {
+            return self.not_leader();
+        }
+        let mut leases = self.leases.borrow_mut();
+        match leases.as_mut() {
+            Some(leases) => {
+                let live = sessions.into_iter().filter(|id| leases.renewed(came, *id)).collect();
+                Response::Renewed(live)
+            }
+            None => Response::Busy { after_ms: 50 },
+        }
+    }
+
+    async fn read(&self, prefix: &str, stale: bool) -> Response {
+        if !stale && !self.confirmed().await {
+            return self.not_leader();
+        }
+        let heard = self.raft.metrics().borrow().millis_since_quorum_ack;
+        self.machine.with(|state| {
+            let (revision, values) = state.read(prefix);
+            let (mut bytes, mut all) = (0, Vec::new());
+            for (key, value) in values {
+                bytes += key.len() + value.value.len() + 32;
+                if bytes > PAYLOAD_MOST / 2 {
+                    return Response::No("prefix: more than an answer holds; ask for less".to_owned());
+                }
+                all.push((key.to_owned(), value.value.clone(), value.revision));
+            }
+            // A follower does not know how old its state is beyond the time of an election.
+            let age = stale.then(|| heard.unwrap_or(self.settings.election.as_millis() as u64 * 2));
+            Response::Values { revision, values: all, age_ms: age }
+        })
+    }
+
+    /// Only the leader tells changes, so that a watch never goes back by going to another process.
+    async fn watch(&self, prefix: &str, since: u64, wait: Duration) -> Response {
+        let until = Instant::now() + wait;
+        loop {
+            let changed = self.machine.changed.notified();
+            if !self.confirmed().await {
+                return self.not_leader();
+            }
+            let news = self.machine.with(|state| state.news(prefix, since));
+            match &news {
+                News::Changes { changes, .. } if changes.is_empty() => {}
+                _ => return Response::News(news),
+            }
+            if tokio::time::timeout_at(until, changed).await.is_err() {
+                return Response::News(news);
+            }
+        }
+    }
+
+    /// A part of the state as of the first part's time.
+    async fn part(&self, from: u64) -> Response {
+        if from == 0 {
+            if !self.confirmed().await {
+                return self.not_leader();
+            }
+            match self.machine.with(|state| state.snapshot()) {
+                Ok(bytes) => drop(self.snapshot.replace(bytes)),
+                Err(e) => return Response::No(e),
+            }
+        }
+        let snapshot = self.snapshot.borrow();
+        let rest = snapshot.get(from as usize..).unwrap_or_default();
+        Response::Part { total: snapshot.len() as u64, bytes: rest[..rest.len().min(PART)].to_vec() }
+    }
+
+    pub fn status(&self) -> Status {
+        let metrics = self.raft.metrics().borrow().clone();
+        let membership = metrics.membership_config.membership().clone();
+        let voters: BTreeSet<NodeId> = membership.voter_ids().collect();
+        let members: Vec<(NodeId, String, bool)> =
+            membership.nodes().map(|(id, node)| (*id, node.addr.clone(), voters.contains(id))).collect();
+        let leader = metrics.current_leader.and_then(|id| members.iter().find(|(of, ..)| *of == id));
+        let counts = self.log.counts();
+        self.machine.with(|state| Status {
+            node: metrics.id,
+            cluster: self.cluster.get(),
+            leads: metrics.state == ServerState::Leader,
+            leader: leader.map(|(_, addr, _)| addr.clone()),
+            term: metrics.current_term,
+            last_log: metrics.last_log_index,
+            applied: metrics.last_applied.map(|log| log.index),
+            members: members.clone(),
+            revision: state.revision(),
+            token: state.token_floor(),
+            sessions: state.sessions().count() as u64,
+            locks: state.locks().count() as u64,
+            writes: counts.writes,
+            syncs: counts.syncs,
+            dropped_frames: self.dropped.get(),
+        })
+    }
+}
+
+/// Lines that an operator's question is answered with at the most.
+const LINES: usize = 20_000;
+
+fn done<T, E: std::fmt::Display>(result: Result<T, E>) -> Response {
+    result.map_or_else(|e| Response::No(e.to_string()), |_| Response::Done)
+}
+
+/// Shows that this process leads, once for all that wait: those that come while it is shown wait for the next time.
+async fn confirm(raft: Raft, mut asked: mpsc::Receiver<oneshot::Sender<bool>>) {
+    while let Some(first) = asked.recv().await {
+        let mut all = vec![first];
+        while let Ok(next) = asked.try_recv() {
+            all.push(next);
+        }
+        let leads = raft.ensure_linearizable().await.is_ok();
+        // Whoever asked may have gone.
+        for asked in all {
+            let _ = asked.send(leads);
+        }
+    }
+}
--- a/coordination/src/state.rs
+++ b/coordination/src/state.rs
@@ -186,6 +186,13 @@
     keys: Vec<String>,
 }
 
+impl Session {
+    /// Locks that it holds or waits for.
+    pub fn locks(&self) -> &[String] {
+        &self.locks
+    }
+}
+
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Lock {
     pub holder: Option<(SessionId, Token)>,
@@ -532,6 +539,10 @@
         self.sessions.iter().map(|(id, session)| (*id, session))
     }
 
+    pub fn has_session(&self, id: SessionId) -> bool {
+        self.sessions.contains_key(&id)
+    }
+
     pub fn locks(&self) -> impl Iterator<Item = (&str, &Lock)> {
         self.locks.iter().map(|(name, lock)| (name.as_str(), lock))
     }
--- a/coordination/src/storage.rs
+++ b/coordination/src/storage.rs
@@ -6,13 +6,13 @@
 use crate::raft::{NodeId, Types};
 use openraft::storage::{LogFlushed, LogState, RaftLogStorage};
 use openraft::{
-    AnyError, BasicNode, Entry, LogId, OptionalSend, RaftLogId, RaftLogReader, SnapshotMeta, StorageError,
-    StorageIOError, Vote,
+    AnyError, BasicNode, CommittedLeaderId, Entry, LogId, Membership, OptionalSend, RaftLogId, RaftLogReader,
+    SnapshotMeta, StorageError, StorageIOError, StoredMembership, Vote,
 };
 use redb::{Database, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Debug;
 use std::io;
 use std::ops::RangeBounds;
@@ -146,10 +146,32 @@
     }
 
     /// This folder is of a cluster from now on.
-    pub fn join(&self, cluster: u64) -> Result<(), String> {
+    pub async fn join(&self, cluster: u64) -> io::Result<()> {
         let identity = Identity { cluster, ..self.identity() };
+        self.keep(IDENTITY, &identity).await?;
         self.held().identity = Some(identity);
-        self.keep_now(IDENTITY, &identity)
+        Ok(())
+    }
+
+    /// A new folder begins with a state, as the whole history of a cluster that it alone is. The error is one line.
+    pub fn begin_from(&self, state: Vec<u8>, addr: &str) -> Result<(), String> {
+        let node = self.identity().node;
+        let last = LogId::new(CommittedLeaderId::new(1, node), 1);
+        let members = BTreeMap::from([(node, BasicNode::new(addr))]);
+        let membership = Membership::new(vec![BTreeSet::from([node])], members);
+        let meta = SnapshotMeta {
+            last_log_id: Some(last),
+            last_membership: StoredMembership::new(Some(last), membership),
+            snapshot_id: "restored".to_owned(),
+        };
+        self.keep_now(SNAPSHOT, &Stored { meta, state })?;
+        self.keep_now(PURGED, &last)?;
+        self.keep_now(COMMITTED, &last)?;
+        // Last: a folder that was not finished is of no cluster.
+        let identity = Identity { cluster: rand::random::<u64>() | 1, ..self.identity() };
+        self.keep_now(IDENTITY, &identity)?;
+        self.held().identity = Some(identity);
+        Ok(())
     }
 
     pub fn counts(&self) -> Counts {
@@ -218,15 +240,14 @@
         identity: part(&meta, IDENTITY)?,
     };
     let log = reading.open_table(LOG).map_err(|e| text(&e))?;
-    let mut next = held.purged.map_or(0, |purged: LogId<NodeId>| purged.index + 1);
-    for entry in log.iter().map_err(|e| text(&e))? {
+    let first = held.purged.map_or(0, |purged: LogId<NodeId>| purged.index + 1);
+    for (expected, entry) in (first..).zip(log.iter().map_err(|e| text(&e))?) {
         let (index, bytes) = entry.map_err(|e| text(&e))?;
         let index = index.value();
-        if index != next {
-            return Err(format!("entry {next} is missing before entry {index}"));
+        if index != expected {
+            return Err(format!("entry {expected} is missing before entry {index}"));
         }
         held.entries.insert(index, decode(&format!("entry {index}"), bytes.value())?);
-        next += 1;
     }
     Ok(held)
 }
--- /dev/null
+++ b/coordination/tests/cluster.rs
@@ -0,0 +1,354 @@
+//! Real processes of the service: killed, stopped and woken, restarted, without their disk, restored; and their clients.
+
+use mapledeck_coordination::client::{Client, Failed};
+use mapledeck_coordination::state::{Done, News, Op, Owner, Refused, Token};
+use mapledeck_coordination::wire::Status;
+use std::fs;
+use std::future::Future;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_mapledeck-coordinator");
+/// Bound of every wait; only a failure takes that long.
+const LONG: Duration = Duration::from_secs(30);
+const TTL: Duration = Duration::from_millis(1000);
+
+struct Member {
+    child: Option<Child>,
+    addr: String,
+    folder: PathBuf,
+}
+
+impl Member {
+    fn new(root: &Path, number: usize) -> Member {
+        let folder = root.join(number.to_string());
+        fs::create_dir_all(&folder).expect("a folder");
+        // It must come back at its address, so the system's port is taken beforehand.
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let addr = listener.local_addr().expect("bound").to_string();
+        let config = format!(
+            "listen = {addr:?}\ndata = {:?}\nheartbeat_ms = 50\nelection_ms = 300\nsnapshot_every = 100\n",
+            folder.join("data")
+        );
+        fs::write(folder.join("config.toml"), config).expect("written");
+        Member { child: None, addr, folder }
+    }
+
+    fn start(&mut self) {
+        let log =
+            fs::OpenOptions::new().create(true).append(true).open(self.folder.join("log")).expect("a log");
+        let config = self.folder.join("config.toml");
+        let child = Command::new(PROGRAM).arg("run").arg(config).stderr(Stdio::from(log)).spawn();
+        self.child = Some(child.expect("it starts"));
+        until("it listens", || TcpStream::connect(&self.addr).is_ok());
+    }
+
+    fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            drop(child.kill());
+            drop(child.wait());
+        }
+    }
+
+    fn signal(&self, signal: &str) {
+        let pid = self.child.as_ref().expect("it runs").id().to_string();
+        assert!(Command::new("kill").args([signal, &pid]).status().expect("kill runs").success());
+    }
+
+    fn status(&self) -> Option<Status> {
+        let told = run(&["--at", &self.addr, "status"]);
+        let text = String::from_utf8_lossy(&told.stdout).into_owned();
+        serde_json::from_str(text.trim().split_once(' ')?.1).ok()
+    }
+}
+
+fn run(args: &[&str]) -> Output {
+    Command::new(PROGRAM).args(args).output().expect("it runs")
+}
+
+fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < LONG, "waited too long until {what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// A cluster that has begun; its processes end with it.
+struct Cluster {
+    root: PathBuf,
+    members: Vec<Member>,
+}
+
+impl Cluster {
+    fn new(size: usize) -> Cluster {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let name = format!("mapledeck-coord-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
+        let root = std::env::temp_dir().join(name);
+        let mut members: Vec<Member> = (0..size).map(|number| Member::new(&root, number)).collect();
+        members.iter_mut().for_each(Member::start);
+        let cluster = Cluster { root, members };
+        let begun = run(&["--at", &cluster.addrs().join(","), "begin"]);
+        assert!(begun.status.success(), "{}", String::from_utf8_lossy(&begun.stderr));
+        cluster
+    }
+
+    fn addrs(&self) -> Vec<String> {
+        self.members.iter().map(|member| member.addr.clone()).collect()
+    }
+
+    /// Who leads, once somebody does; not one that a signal keeps from answering.
+    fn leader(&self) -> usize {
+        let mut leader = None;
+        until("somebody leads", || {
+            leader = (0..self.members.len())
+                .filter(|i| self.members[*i].child.is_some())
+                .find(|i| self.members[*i].status().is_some_and(|status| status.leads));
+            leader.is_some()
+        });
+        leader.expect("just seen")
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.members.iter_mut().for_each(Member::kill);
+        drop(fs::remove_dir_all(&self.root));
+    }
+}
+
+fn play<T>(what: impl Future<Output = T>) -> T {
+    let options = tokio::runtime::LocalOptions::default();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build_local(options);
+    runtime.expect("a runtime").block_on(what)
+}
+
+fn put(key: &str, value: u64, expect: u64) -> Op {
+    let value = value.to_le_bytes().to_vec();
+    Op::Put { key: key.to_owned(), value, expect: Some(expect), owner: Owner::Nobody }
+}
+
+/// Each step names the revision of the one before, so a step that took effect twice, or was lost, breaks the chain.
+async fn chain(client: &Client, from: (u64, u64), steps: u64) -> (u64, u64) {
+    let (mut value, mut at) = from;
+    for _ in 0..steps {
+        value += 1;
+        match client.call(put("chain", value, at), LONG).await {
+            Ok(Done::At(revision)) => at = revision,
+            other => panic!("step {value}: {other:?}"),
+        }
+    }
+    (value, at)
+}
+
+#[test]
+fn leaders_are_killed_and_everything_takes_effect_once() {
+    let mut cluster = Cluster::new(3);
+    let client = Client::new(cluster.addrs());
+    play(async {
+        let mut at = chain(&client, (0, 0), 20).await;
+        for _ in 0..3 {
+            let leader = cluster.leader();
+            cluster.members[leader].kill();
+            at = chain(&client, at, 20).await;
+            cluster.members[leader].start();
+        }
+        // More than the log keeps: who was away learns from a snapshot.
+        let leader = cluster.leader();
+        let away = (leader + 1) % 3;
+        cluster.members[away].kill();
+        at = chain(&client, at, 400).await;
+        cluster.members[away].start();
+        let (_, values) = client.read("chain", LONG).await.expect("read");
+        assert_eq!(values, [("chain".to_owned(), at.0.to_le_bytes().to_vec(), at.1)]);
+        until("it has caught up", || {
+            let (one, other) = (cluster.members[away].status(), cluster.members[leader].status());
+            one.zip(other).is_some_and(|(one, other)| one.applied >= other.applied && one.revision > 0)
+        });
+    });
+    let status = cluster.members[cluster.leader()].status().expect("answers");
+    assert!(status.writes > 0 && status.members.len() == 3 && status.dropped_frames == 0, "{status:?}");
+}
+
+#[test]
+fn a_lock_goes_on_under_a_higher_token_and_the_old_holder_has_stopped_before() {
+    let cluster = Cluster::new(3);
+    play(async {
+        let (one, two) = (Client::new(cluster.addrs()), Client::new(cluster.addrs()));
+        let first = one.session("one", TTL, LONG).await.expect("opens");
+        let second = two.session("two", TTL, LONG).await.expect("opens");
+        let held = first.acquire("list", LONG).await.expect("granted");
+        let token = held.act().expect("it holds it");
+        let waits = second.acquire("list", Duration::from_millis(1500)).await;
+        assert!(matches!(waits, Err(Failed::TimedOut)), "renewed for as long as it lives");
+        assert!(held.act().is_some());
+        // The leader stands still for longer than a session, and wakes: whoever leads by then gives all sessions their time.
+        let leader = cluster.leader();
+        cluster.members[leader].signal("-STOP");
+        tokio::time::sleep(TTL * 2).await;
+        cluster.members[leader].signal("-CONT");
+        let lived = held.act();
+        // Nothing renews it any more: the other has the lock, and only after this one has stopped.
+        first.let_lapse();
+        let next = second.acquire("list", LONG).await;
+        let stopped = held.act();
+        let next = next.expect("granted").act().expect("it holds it");
+        assert!(next > token && stopped.is_none(), "{token} {next} {lived:?} {stopped:?}");
+    });
+}
+
+#[test]
+fn all_restart_at_once_one_loses_its_disk_and_is_replaced() {
+    let mut cluster = Cluster::new(3);
+    let client = Client::new(cluster.addrs());
+    let before = play(async {
+        let session = client.session("one", TTL, LONG).await.expect("opens");
+        let lock = session.acquire("list", LONG).await.expect("granted");
+        chain(&client, (0, 0), 5).await;
+        lock.token()
+    });
+    cluster.members.iter_mut().for_each(Member::kill);
+    cluster.members.iter_mut().for_each(Member::start);
+    let lost = (cluster.leader() + 1) % 3;
+    let old = cluster.members[lost].status().expect("answers").node;
+    cluster.members[lost].kill();
+    fs::remove_dir_all(cluster.members[lost].folder.join("data")).expect("its disk");
+    cluster.members[lost].start();
+    let anew = cluster.members[lost].status().expect("answers");
+    assert!(anew.node != old && anew.cluster == 0, "somebody else, who votes for nobody");
+    let others: Vec<String> =
+        (0..3).filter(|i| *i != lost).map(|i| cluster.members[i].addr.clone()).collect();
+    let at = others.join(",");
+    for args in [vec!["remove", &format!("{old:016x}")], vec!["add", &cluster.members[lost].addr]] {
+        let done = run(&[vec!["--at", &at], args.clone()].concat());
+        assert!(done.status.success(), "{args:?}: {}", String::from_utf8_lossy(&done.stderr));
+    }
+    let status = cluster.members[lost].status().expect("answers");
+    assert_eq!(status.members.iter().filter(|(_, _, votes)| *votes).count(), 3);
+    play(async {
+        let client = Client::new(others);
+        let (_, values) = client.read("chain", LONG).await.expect("read");
+        assert_eq!(values[0].1, 5u64.to_le_bytes());
+        let session = client.session("two", TTL, LONG).await.expect("opens");
+        let lock = session.acquire("list", LONG).await.expect("granted, once the old session is over");
+        assert!(lock.token() > before);
+    });
+}
+
+#[test]
+fn a_service_restored_from_an_older_copy_goes_on_above_the_tokens_that_were_given() {
+    let mut cluster = Cluster::new(3);
+    let copy = cluster.root.join("copy");
+    let newest: Token = play(async {
+        let client = Client::new(cluster.addrs());
+        chain(&client, (0, 0), 3).await;
+        let taken = run(&["--at", &cluster.addrs().join(","), "snapshot", copy.to_str().expect("UTF-8")]);
+        assert!(taken.status.success(), "{}", String::from_utf8_lossy(&taken.stderr));
+        let session = client.session("one", TTL, LONG).await.expect("opens");
+        let mut newest = 0;
+        for name in ["a", "b", "c"] {
+            newest = session.acquire(name, LONG).await.expect("granted").token();
+        }
+        newest
+    });
+    cluster.members.iter_mut().for_each(Member::kill);
+    let member = &mut cluster.members[0];
+    fs::remove_dir_all(member.folder.join("data")).expect("all lost");
+    let data = member.folder.join("data");
+    let args = [
+        "restore",
+        copy.to_str().expect("UTF-8"),
+        "--data",
+        data.to_str().expect("UTF-8"),
+        "--addr",
+        &member.addr,
+    ];
+    let restored = run(&args);
+    assert!(restored.status.success(), "{}", String::from_utf8_lossy(&restored.stderr));
+    assert_eq!(run(&args).status.code(), Some(1), "a folder that holds a log is not touched");
+    member.start();
+    play(async {
+        let client = Client::new(vec![cluster.members[0].addr.clone()]);
+        let (_, values) = client.read("chain", LONG).await.expect("read");
+        assert_eq!(values[0].1, 3u64.to_le_bytes());
+        let session = client.session("one", TTL, LONG).await.expect("opens");
+        assert!(session.acquire("a", LONG).await.expect("granted").token() > newest);
+    });
+}
+
+#[test]
+fn watches_miss_nothing_and_never_go_back_over_a_change_of_leader() {
+    let mut cluster = Cluster::new(3);
+    play(async {
+        let (writer, watcher) = (Client::new(cluster.addrs()), Client::new(cluster.addrs()));
+        let (mut since, _) = watcher.read("chain", LONG).await.expect("read");
+        let mut seen = Vec::new();
+        let mut at = (0, 0);
+        for round in 0..3 {
+            at = chain(&writer, at, 10).await;
+            if round == 1 {
+                let leader = cluster.leader();
+                cluster.members[leader].kill();
+            }
+            while seen.len() < at.0 as usize {
+                match watcher.news("chain", since, LONG).await.expect("news") {
+                    News::Changes { upto, changes } => {
+                        assert!(upto >= since);
+                        seen.extend(changes.iter().map(|(revision, _)| *revision));
+                        since = upto;
+                    }
+                    News::Lost { .. } => panic!("not that long ago"),
+                }
+            }
+        }
+        assert!(seen.windows(2).all(|pair| pair[0] < pair[1]) && seen.len() == 30, "{seen:?}");
+        // What is refused says why, and a batch that fails leaves nothing.
+        let both = Op::Batch(vec![put("other", 1, 0), put("chain", 1, 0)]);
+        assert_eq!(writer.call(both, LONG).await, Err(Failed::Refused(Refused::Conflict(at.1))));
+        assert!(watcher.read("other", LONG).await.expect("read").1.is_empty());
+    });
+}
+
+#[test]
+fn strange_frames_and_configurations_are_told_and_change_nothing() {
+    let cluster = Cluster::new(1);
+    let addr = &cluster.members[0].addr;
+    let heads: [&[u8]; 4] = [
+        b"GET / HTTP/1.1\r\n\r\n        ",
+        b"MDCO\x09\x00",
+        b"MDCO\x01\x00\0\0\0\0\0\0\0\0\xff\xff\xff\xff\0\0\0\0",
+        b"MD",
+    ];
+    for head in heads {
+        let mut stream = TcpStream::connect(addr).expect("it listens");
+        stream.set_read_timeout(Some(LONG)).expect("set");
+        stream.write_all(head).expect("written");
+        stream.write_all(&[0; 30]).expect("written");
+        let mut rest = Vec::new();
+        // Closed without a word; with or without a reset.
+        drop(stream.read_to_end(&mut rest));
+        assert!(rest.is_empty());
+    }
+    until("they are counted", || {
+        cluster.members[0].status().is_some_and(|status| status.dropped_frames == 4)
+    });
+    let config = cluster.root.join("config.toml");
+    for (text, field) in [
+        ("data = \"x\"", "listen"),
+        ("listen = \"0.0.0.0:1\"\ndata = \"x\"", "listen"),
+        ("listen = \"127.0.0.1:0\"\ndata = \"x\"\nelection_ms = 1", "election_ms"),
+        ("listen = \"127.0.0.1:0\"\ndata = \"x\"\nleader = true", "leader"),
+    ] {
+        fs::write(&config, text).expect("written");
+        let ran = run(&["run", config.to_str().expect("UTF-8")]);
+        let said = String::from_utf8_lossy(&ran.stderr).into_owned();
+        assert!(
+            ran.status.code() == Some(2) && said.contains(field) && said.trim().lines().count() == 1,
+            "{said}"
+        );
+    }
+}
