--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1008,7 +1008,7 @@
         // What a warm one is sent when each gets its part; a mean over all would sink with the cold ones.
         let warm: f64 =
             self.usable().filter(|s| s.near).map(|s| s.size(mean_size) * s.warmth(now, &self.cfg)).sum();
-        // Before cold ones alone, what is asked tells it too: of nothing sent they would wait for ever for nothing.
+        // Before cold ones alone what is asked tells it too: of nothing sent they would wait for ever.
         let all_cold = self.usable().all(|s| s.warmth(now, &self.cfg) < 1.0);
         let asked: f64 = self.shedder.priorities.iter().filter(|_| all_cold).map(|p| p.demand).sum();
         let warm_rate = f64::max(self.sends / life, asked) / f64::max(warm, 0.1);
