Reckon a run's figures once when it is judged

Cause: the verdict took every event into two accounts of figures, as making the summary consumed the one and the report needs the other.

Change: the summary leaves the account as it is, and the report draws from the same one.

--- a/lab/src/figures.rs
+++ b/lab/src/figures.rs
@@ -306,7 +306,7 @@
         (to >= from + SECOND).then(|| count as f64 * SECOND as f64 / (to - from) as f64)
     }
 
-    pub fn summary(mut self, findings: &BTreeMap<&'static str, Finding>) -> Option<Summary> {
+    pub fn summary(&mut self, findings: &BTreeMap<&'static str, Finding>) -> Option<Summary> {
         let setup = self.setup.clone()?;
         self.good.sort_unstable();
         let (from, to) = (setup.load_from, setup.load_from + setup.duration);
@@ -375,7 +375,7 @@
             owner_gap_ms: self.owner_gap.map(|gap| gap / MS),
             late_effects: self.late_effects,
             latency_ms,
-            lab: self.lab,
+            lab: self.lab.clone(),
         })
     }
 }
--- a/lab/src/verdict.rs
+++ b/lab/src/verdict.rs
@@ -21,11 +21,10 @@
 /// Judges the run in a folder; the error says why it cannot be judged. `figures`, filled, are for whoever draws them.
 pub fn judge(dir: &Path) -> Result<(Verdict, Figures), String> {
     let path = dir.join(HISTORY);
-    let (mut judge, mut figures, mut drawn) = (Judge::default(), Figures::new(), Figures::new());
+    let (mut judge, mut figures) = (Judge::default(), Figures::new());
     let read = Reader::open(&path)?.each(|event| {
         judge.take(&event);
         figures.take(&event);
-        drawn.take(&event);
     });
     read.map_err(|e| format!("{}: {e}", path.display()))?;
     let findings = judge.findings().map_err(|e| format!("{}: {e}", path.display()))?;
@@ -33,7 +32,7 @@
     let summary = figures.summary(&findings).ok_or("the history has no setup")?;
     let scenario = Scenario::parse(&text).map_err(|e| format!("the history's scenario: {e}"))?;
     let missed = missed(&scenario, &summary);
-    Ok((Verdict { findings, summary, missed }, drawn))
+    Ok((Verdict { findings, summary, missed }, figures))
 }
 
 fn missed(scenario: &Scenario, summary: &Summary) -> Vec<String> {
