Ask for a lock once a round, and give the place in its queue back whenever time runs out

Cause: each round asked twice for a lock that was waited for. And where a wait ended by its bound, the early return passed over the place that the comment below it promised to give back.

Change: ask, wait for a change, ask again; the place is given back in one spot, after any wait that ran out. Two functions that nobody called are gone.

--- a/coordination/src/client.rs
+++ b/coordination/src/client.rs
@@ -5,16 +5,17 @@
 
 use crate::lease::Held;
 use crate::peers::translated;
-use crate::state::{Change, ClientId, Done, News, Op, Refused, Revision, SessionId, Token};
+use crate::state::{ClientId, Done, News, Op, Refused, Revision, SessionId, Token};
 use crate::wire::{Channel, Request, Response};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::future::Future;
 use std::net::IpAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout, timeout_at, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 
 /// One process is waited for at most this long before another one is asked; a watch for as much longer as it waits.
 const ONE_MOST: Duration = Duration::from_millis(1500);
@@ -300,38 +301,36 @@
 
     /// The lock, waiting for it in order for so long.
     pub async fn acquire(&self, lock: &str, within: Duration) -> Result<Lock, Failed> {
-        let (client, until) = (&self.0.client, Instant::now() + within);
+        let granted = self.granted(lock, Instant::now() + within).await;
+        if granted == Err(Failed::TimedOut) {
+            // The place in the queue is given back, or it would be granted to nobody who waits; it may never have been taken.
+            let leave = Op::Release { session: self.0.id, lock: lock.to_owned() };
+            drop(self.0.client.call(leave, ONE_MOST).await);
+        }
+        granted.map(|token| Lock { name: lock.to_owned(), token, session: self.0.clone() })
+    }
+
+    /// Asks, waits until something has changed, and asks again.
+    async fn granted(&self, lock: &str, until: Instant) -> Result<Token, Failed> {
+        let client = &self.0.client;
+        let rest = || until.saturating_duration_since(Instant::now());
         let mut since = None;
         loop {
-            let rest = until.saturating_duration_since(Instant::now());
             let wish = Op::Acquire { session: self.0.id, lock: lock.to_owned(), wait: true };
-            match client.call(wish, rest).await? {
-                Done::Granted(token) => {
-                    return Ok(Lock { name: lock.to_owned(), token, session: self.0.clone() });
-                }
+            match client.call(wish, rest()).await? {
+                Done::Granted(token) => return Ok(token),
                 Done::Waiting(_) => {}
                 other => return Err(Failed::No(format!("no answer to a wish for a lock: {other:?}"))),
             }
-            // Its turn shows as a change of the lock; what came between is seen by asking again.
-            let from = match since {
-                Some(since) => since,
-                None => client.read(lock, rest).await?.0,
-            };
-            let again = Op::Acquire { session: self.0.id, lock: lock.to_owned(), wait: true };
-            if let Done::Granted(token) = client.call(again, rest).await? {
-                return Ok(Lock { name: lock.to_owned(), token, session: self.0.clone() });
-            }
-            let waiting = timeout(rest, client.news(lock, from, rest)).await;
-            since = match waiting.map_err(|_| Failed::TimedOut)?? {
-                News::Changes { upto, .. } => Some(upto),
-                News::Lost { now } => Some(now),
-            };
-            if Instant::now() >= until {
-                // The place in the queue is given back, or it would be granted to nobody who waits.
-                let leave = Op::Release { session: self.0.id, lock: lock.to_owned() };
-                client.call(leave, ONE_MOST).await?;
-                return Err(Failed::TimedOut);
-            }
+            // Its turn shows as a change of the lock. From where to watch is read first; what came before that is seen by
+            // asking once more.
+            since = Some(match since {
+                None => client.read(lock, rest()).await?.0,
+                Some(from) => match bounded(until, client.news(lock, from, rest())).await? {
+                    News::Changes { upto, .. } => upto,
+                    News::Lost { now } => now,
+                },
+            });
         }
     }
 
@@ -342,6 +341,11 @@
     }
 }
 
+/// The same, but no longer than until then.
+async fn bounded<T>(until: Instant, what: impl Future<Output = Result<T, Failed>>) -> Result<T, Failed> {
+    timeout_at(until, what).await.unwrap_or(Err(Failed::TimedOut))
+}
+
 /// A lock that this process was granted.
 pub struct Lock {
     name: String,
@@ -368,8 +372,3 @@
         self.session.client.call(release, within).await.map(drop)
     }
 }
-
-/// Whether a change is of a lock that nobody holds any more.
-pub fn is_free(change: &Change) -> bool {
-    matches!(change, Change::Lock { holder: None, .. })
-}
--- a/coordination/src/lease.rs
+++ b/coordination/src/lease.rs
@@ -103,9 +103,4 @@
     pub fn over(&self, now: Instant) -> impl Iterator<Item = SessionId> + '_ {
         self.ends.iter().filter(move |(_, (ends, _))| *ends <= now).map(|(id, _)| *id)
     }
-
-    /// When the next one's time is over.
-    pub fn next(&self) -> Option<Instant> {
-        self.ends.values().map(|(ends, _)| *ends).min()
-    }
 }
