Move the network code below the gateway into a crate of its own

Need: the serving tier's data plane uses the same sockets, framing and connections as the gateway in service, and may not link what the gateway depends on besides. Change: socket, framing, system and the connection to a server are the crate transport/; the gateway uses it.

--- a/gateway/src/console.rs
+++ b/gateway/src/console.rs
@@ -1,15 +1,15 @@
 //! The operators' address: HTTP/1.1, one call a connection, answered with yes (2xx) or no (4xx, 5xx).
 
-use crate::framing::{Framing, Heads};
 use crate::front::last_word;
 use crate::operations::{Call, Change, Operations, Refusal, Said};
-use crate::socket::{Io, Socket, Watch};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
+use mapledeck_transport::framing::{Framing, Heads};
+use mapledeck_transport::socket::{Io, Socket, Watch};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -42,7 +42,7 @@
     begun: Cell<bool>,
 }
 
-impl Watch for Rc<Caller> {
+impl Watch for Caller {
     fn received(&self, bytes: &[u8]) {
         self.begun.set(true);
         self.heads.borrow_mut().read(bytes);
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -3,8 +3,6 @@
 use crate::account::Account;
 use crate::engine::{Answer, Engine};
 use crate::flow::{Flow, Pace, Passed, Sendable, Words, SHORT};
-use crate::framing::{Framing, Heads};
-use crate::socket::{Io, Socket, Watch};
 use crate::upstream::{more, Order, EXPIRES_IN, MAX_BODY};
 use cherrypulley::{ClassId, CustomerId, Effect, NewRequest, PlanId, RequestId};
 use cherrypulley_drill::Site;
@@ -15,6 +13,8 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use mapledeck_budget::STALL;
+use mapledeck_transport::framing::{Framing, Heads};
+use mapledeck_transport::socket::{Io, Socket, Watch};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
@@ -175,7 +175,7 @@
     }
 }
 
-impl Watch for Rc<Client> {
+impl Watch for Client {
     fn received(&self, bytes: &[u8]) {
         let mut heads = self.heads.borrow_mut();
         heads.read(bytes);
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -10,12 +10,9 @@
 mod engine;
 mod fleet;
 mod flow;
-mod framing;
 mod front;
 mod handover;
 mod operations;
-mod socket;
-mod system;
 mod upstream;
 
 use account::Accounts;
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -3,11 +3,9 @@
 use crate::account::Account;
 use crate::books::{Books, EPOCH, NEWER_MOST};
 use crate::flow::{Outgoing, Passed, Piece, Sendable, Words, SHORT};
-use crate::socket::{Io, Socket};
 use cherrypulley::{Lifecycle, LoadReport, Scope, ServerId, ServerInfo, Status, Time};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Bytes, Incoming};
-use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use std::cell::{Cell, RefCell};
@@ -16,9 +14,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::TcpStream;
 use tokio::sync::mpsc::Sender;
-use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::timeout;
 use tracing::warn;
 
@@ -51,11 +47,6 @@
 const METER: HeaderName = HeaderName::from_static("x-meter");
 const LOAD: HeaderName = HeaderName::from_static("endpoint-load-metrics");
 
-/// An answer's head holds at most this much, and as much is read of a body at once. Guards memory against a head
-/// that does not end.
-const MAX_HEAD: usize = 16 << 10;
-/// ... and so many lines.
-const MAX_HEADERS: usize = 64;
 /// A short answer counts only when it has come whole: a refusal proves nothing before, and a 200 serves nobody. One
 /// that does not go on for this long is spoilt: it may keep its connection open for good, and another attempt is
 /// possible while nothing has gone out.
@@ -171,66 +162,8 @@
     }
 }
 
-/// A connection. Dropping it closes it, which is how an attempt is given up.
-pub struct Link {
-    sender: SendRequest<Outgoing>,
-    socket: Rc<Socket<()>>,
-    driver: AbortHandle,
-    _counted: Option<Counted>,
-}
-
-impl Drop for Link {
-    fn drop(&mut self) {
-        self.driver.abort();
-    }
-}
-
-impl Link {
-    /// Connects; `open` counts the connections of a budget.
-    pub async fn open(addr: SocketAddr, within: Duration, open: Option<Rc<Cell<usize>>>) -> io::Result<Link> {
-        // Counted from here on, as a connection that is coming up holds a descriptor too.
-        let counted = open.map(Counted::new);
-        let stream = timeout(within, TcpStream::connect(addr)).await??;
-        let socket = Socket::new(stream, ())?;
-        let mut builder = http1::Builder::new();
-        builder.max_buf_size(MAX_HEAD).max_headers(MAX_HEADERS);
-        let (sender, connection) = builder.handshake(Io(socket.clone())).await.map_err(io::Error::other)?;
-        // How a connection ends is seen by the request on it, if there is one.
-        let driver = spawn_local(async move { drop(connection.await) }).abort_handle();
-        Ok(Link { sender, socket, driver, _counted: counted })
-    }
-
-    /// Whether a request can be sent on it that will be answered by what comes: the server has not closed it, and
-    /// nothing has come behind the last answer, which would be taken for that of the next request.
-    pub fn clean(&self) -> bool {
-        !self.sender.is_closed() && self.socket.quiet()
-    }
-
-    /// Waits until a request can be sent; whether the connection still stands.
-    pub async fn ready(&mut self) -> bool {
-        self.sender.ready().await.is_ok()
-    }
-
-    pub async fn send(&mut self, request: Request<Outgoing>) -> hyper::Result<Response<Incoming>> {
-        self.sender.send_request(request).await
-    }
-}
-
-/// A place in a budget of connections.
-struct Counted(Rc<Cell<usize>>);
-
-impl Counted {
-    fn new(open: Rc<Cell<usize>>) -> Counted {
-        open.set(open.get() + 1);
-        Counted(open)
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
+/// A connection that carries what a request passes on.
+pub type Link = mapledeck_transport::link::Link<Outgoing>;
 
 struct Idle {
     link: Link,
@@ -428,7 +361,7 @@
     }
 
     fn give_back(&self, peer: Peer, link: Link) {
-        if !link.sender.is_closed() && self.runs(&peer) {
+        if !link.is_closed() && self.runs(&peer) {
             let since = Instant::now();
             self.idle.borrow_mut().entry(peer).or_default().push(Idle { link, since });
         }
@@ -498,7 +431,7 @@
                 }
                 let written = Instant::now();
                 let _unanswered = Unanswered { upstream: self, peer, begun: written };
-                let sent = link.sender.try_send_request(request).await;
+                let sent = link.try_send(request).await;
                 self.heard_of(peer);
                 match sent {
                     Ok(answer) => {
--- a/gateway/src/socket.rs
+++ b/transport/src/socket.rs
@@ -45,6 +45,24 @@
 
 impl Watch for () {}
 
+impl<W: Watch> Watch for Rc<W> {
+    fn received(&self, bytes: &[u8]) {
+        (**self).received(bytes);
+    }
+
+    fn lets_out(&self) -> bool {
+        (**self).lets_out()
+    }
+
+    fn blocked(&self, blocked: bool) {
+        (**self).blocked(blocked);
+    }
+
+    fn flushed(&self) {
+        (**self).flushed();
+    }
+}
+
 pub struct Socket<W> {
     stream: TcpStream,
     ahead: RefCell<Ahead>,
