--- /dev/null
+++ b/system/batch/src/job.rs
@@ -0,0 +1,157 @@
+//! One batch job: its items, and the results in the order in which they were recorded.
+
+use marblecroft_wire::Bytes;
+use musli::{Decode, Encode};
+
+/// An item as it was sent.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Item {
+    pub id: String,
+    pub path: String,
+    /// Names and values.
+    pub headers: Vec<(String, String)>,
+    pub body: Bytes,
+    /// Tokens of the prompt and the most out.
+    pub tokens: u64,
+}
+
+/// A job as it was sent.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct NewJob {
+    pub id: String,
+    /// Name of the route that it came in on.
+    pub route: String,
+    /// The host that its items are sent with.
+    pub host: String,
+    pub items: Vec<Item>,
+    /// Tokens that may wait on the route; 0 is no limit.
+    pub max_queued_tokens: u64,
+    /// When it was taken, in milliseconds since 1970 by the clock of whoever ordered it.
+    pub taken_at_ms: u64,
+}
+
+/// How an item ended.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum ItemOutcome {
+    /// The data of all events, with line feeds between them.
+    Completed(String),
+    DeadLettered,
+}
+
+/// A result at a position of a job's list. It never changes.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct ListedResult {
+    pub item: u32,
+    pub outcome: ItemOutcome,
+}
+
+/// An item that the system keeps.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+struct KeptItem {
+    item: Item,
+    listed: bool,
+}
+
+/// A job that the system keeps.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Job {
+    pub route: String,
+    pub host: String,
+    /// Jobs that were taken earlier have a lower number.
+    pub order: u64,
+    pub taken_at_ms: u64,
+    items: Vec<KeptItem>,
+    results: Vec<ListedResult>,
+    ended: bool,
+}
+
+impl Job {
+    pub(crate) fn new(new: NewJob, order: u64) -> Job {
+        let items = new.items.into_iter().map(|item| KeptItem { item, listed: false }).collect();
+        Job {
+            route: new.route,
+            host: new.host,
+            order,
+            taken_at_ms: new.taken_at_ms,
+            items,
+            results: Vec::new(),
+            ended: false,
+        }
+    }
+
+    /// Items in all.
+    pub fn total(&self) -> usize {
+        self.items.len()
+    }
+
+    /// The results, in the order of their positions.
+    pub fn results(&self) -> &[ListedResult] {
+        &self.results
+    }
+
+    /// Whether it was ended by its client.
+    pub fn is_ended(&self) -> bool {
+        self.ended
+    }
+
+    /// Whether items of it are to be run.
+    pub fn is_open(&self) -> bool {
+        !self.ended && self.results.len() < self.items.len()
+    }
+
+    /// The id of an item.
+    pub fn item_id(&self, item: u32) -> Option<&str> {
+        self.items.get(item as usize).map(|kept| kept.item.id.as_str())
+    }
+
+    /// An item that has no result yet, by its index.
+    pub fn unlisted(&self, item: u32) -> Option<&Item> {
+        self.items.get(item as usize).filter(|kept| !kept.listed).map(|kept| &kept.item)
+    }
+
+    /// An item that has no result yet, by its id.
+    pub fn unlisted_by_id(&self, id: &str) -> Option<&Item> {
+        self.items.iter().find(|kept| kept.item.id == id && !kept.listed).map(|kept| &kept.item)
+    }
+
+    /// Whether it has an item of this id.
+    pub fn has_item(&self, id: &str) -> bool {
+        self.items.iter().any(|kept| kept.item.id == id)
+    }
+
+    /// The indices of the items that have no result yet.
+    pub fn unlisted_items(&self) -> impl Iterator<Item = u32> + '_ {
+        let indices = 0u32..;
+        indices.zip(&self.items).filter(|(_, kept)| !kept.listed).map(|(index, _)| index)
+    }
+
+    /// Records an outcome if the item has none; returns the tokens that wait no more.
+    pub(crate) fn record(&mut self, item: u32, outcome: ItemOutcome) -> u64 {
+        let Some(kept) = self.items.get_mut(item as usize).filter(|kept| !kept.listed) else { return 0 };
+        kept.listed = true;
+        // Nobody reads the body of an item that is listed.
+        kept.item.body = Bytes::default();
+        kept.item.headers = Vec::new();
+        let tokens = kept.item.tokens;
+        self.results.push(ListedResult { item, outcome });
+        if self.ended {
+            0
+        } else {
+            tokens
+        }
+    }
+
+    /// Ends the job; returns the tokens that wait no more.
+    pub(crate) fn end(&mut self) -> u64 {
+        if std::mem::replace(&mut self.ended, true) {
+            return 0;
+        }
+        let mut released = 0;
+        for kept in self.items.iter_mut().filter(|kept| !kept.listed) {
+            released += kept.item.tokens;
+            kept.item.body = Bytes::default();
+            kept.item.headers = Vec::new();
+        }
+        released
+    }
+}
--- /dev/null
+++ b/system/batch/src/lib.rs
@@ -0,0 +1,134 @@
+//! The stores' replicated state: batch jobs, their items and results, and the tokens that wait on each route.
+//!
+//! [`Batch`] is the deterministic state; [`lease::Leases`] is what the head alone holds of who runs which item, which may be
+//! lost at any time: an item that is run twice still has one result, the first that was recorded.
+#![forbid(unsafe_code)]
+
+pub mod job;
+pub mod lease;
+
+pub use job::{Item, ItemOutcome, Job, ListedResult, NewJob};
+
+use marblecroft_chain::StateMachine;
+use marblecroft_wire::{decode, encode};
+use musli::{Decode, Encode};
+use std::collections::BTreeMap;
+
+/// A change of the state.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum Operation {
+    /// Takes a job if its tokens fit.
+    Submit(NewJob),
+    /// Records an item's outcome, unless it has one or its job is not known.
+    Record { job: String, item: u32, outcome: ItemOutcome },
+    /// Ends a job: its items are not run any more.
+    End { job: String },
+    /// Forgets jobs that were taken before this time (milliseconds since 1970, by the head's clock) and have ended or are
+    /// done.
+    Forget { taken_before_ms: u64 },
+}
+
+/// What became of an operation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// The job is the system's, now or since it was sent before.
+    Accepted,
+    /// Its tokens do not fit.
+    OverQuota,
+    Done,
+    /// There is no such job.
+    Unknown,
+}
+
+/// The state.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct Batch {
+    jobs: BTreeMap<String, Job>,
+    /// Jobs taken so far; gives their order.
+    taken: u64,
+    /// Tokens of items that wait, by route.
+    waiting: BTreeMap<String, u64>,
+}
+
+impl Batch {
+    pub fn job(&self, id: &str) -> Option<&Job> {
+        self.jobs.get(id)
+    }
+
+    /// The jobs that have items to run.
+    pub fn open_jobs(&self) -> impl Iterator<Item = (&String, &Job)> {
+        self.jobs.iter().filter(|(_, job)| job.is_open())
+    }
+
+    pub fn jobs(&self) -> impl Iterator<Item = (&String, &Job)> {
+        self.jobs.iter()
+    }
+
+    /// Tokens that wait on a route.
+    pub fn waiting_tokens(&self, route: &str) -> u64 {
+        self.waiting.get(route).copied().unwrap_or(0)
+    }
+
+    fn submit(&mut self, new: NewJob) -> Output {
+        if self.jobs.contains_key(&new.id) {
+            return Output::Accepted;
+        }
+        let tokens: u64 = new.items.iter().map(|item| item.tokens).sum();
+        let waiting = self.waiting_tokens(&new.route);
+        if new.max_queued_tokens > 0 && waiting.saturating_add(tokens) > new.max_queued_tokens {
+            return Output::OverQuota;
+        }
+        self.waiting.insert(new.route.clone(), waiting.saturating_add(tokens));
+        self.taken += 1;
+        let id = new.id.clone();
+        self.jobs.insert(id, Job::new(new, self.taken));
+        Output::Accepted
+    }
+
+    fn release(&mut self, route: &str, tokens: u64) {
+        if let Some(waiting) = self.waiting.get_mut(route) {
+            *waiting = waiting.saturating_sub(tokens);
+        }
+    }
+
+    fn record(&mut self, id: &str, item: u32, outcome: ItemOutcome) -> Output {
+        let Some(job) = self.jobs.get_mut(id) else { return Output::Unknown };
+        let released = job.record(item, outcome);
+        let route = job.route.clone();
+        self.release(&route, released);
+        Output::Done
+    }
+
+    fn end(&mut self, id: &str) -> Output {
+        let Some(job) = self.jobs.get_mut(id) else { return Output::Unknown };
+        let released = job.end();
+        let route = job.route.clone();
+        self.release(&route, released);
+        Output::Done
+    }
+}
+
+impl StateMachine for Batch {
+    type Operation = Operation;
+    type Output = Output;
+
+    fn apply(&mut self, operation: Operation) -> Output {
+        match operation {
+            Operation::Submit(new) => self.submit(new),
+            Operation::Record { job, item, outcome } => self.record(&job, item, outcome),
+            Operation::End { job } => self.end(&job),
+            Operation::Forget { taken_before_ms } => {
+                self.jobs.retain(|_, job| job.is_open() || job.taken_at_ms >= taken_before_ms);
+                Output::Done
+            }
+        }
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        encode(self)
+    }
+
+    fn restore(snapshot: &[u8]) -> Option<Batch> {
+        decode(snapshot).ok()
+    }
+}
--- /dev/null
+++ b/system/chain/src/message.rs
@@ -0,0 +1,61 @@
+//! What members of a chain tell each other.
+
+use crate::replica::Position;
+use crate::view::View;
+use marblecroft_wire::Bytes;
+use musli::{Decode, Encode};
+use std::net::SocketAddr;
+
+/// From a member to the one that follows it: entries, or none as a heartbeat.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Append {
+    pub view: View,
+    /// Where the entries begin.
+    pub from: Position,
+    pub entries: Vec<Bytes>,
+    /// Where they end: the sender's position.
+    pub to: Position,
+    /// Whether the head's last round went through the whole chain.
+    pub healthy: bool,
+    /// Volatile data that the head gives to all members.
+    pub notice: Bytes,
+}
+
+/// The answer to an [`Append`] or an [`Install`].
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum AppendReply {
+    /// The member and all that follow it hold everything up to the sender's position.
+    Held,
+    /// The member's state is another one; it is at this position.
+    Mismatch(Position),
+    /// The member knows of a newer view.
+    Stale(View),
+    /// The process is not the member that the view names.
+    NotMember,
+    /// The member's own disk refused.
+    Storage,
+    /// A member further down the chain does not answer, or refuses.
+    Failed(SocketAddr),
+}
+
+/// A whole state, for a member whose own is another one.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Install {
+    pub view: View,
+    pub position: Position,
+    pub machine: Bytes,
+}
+
+/// What a process says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct Status {
+    pub identity: u64,
+    pub view: View,
+    /// Whether it holds everything that was acknowledged, as far as it knows.
+    pub complete: bool,
+    pub position: Position,
+    /// Whether its state is known to be acknowledged by the whole chain.
+    pub settled: bool,
+    /// A member further down the chain that has failed its part for a while.
+    pub suspect: Option<SocketAddr>,
+}
--- /dev/null
+++ b/system/chain/src/replica.rs
@@ -0,0 +1,327 @@
+//! One member's state: the state machine, where it stands in the chain's history, the view, and the vote on the next one.
+//! All of it is on disk before anybody is told.
+
+use crate::message::{Append, Install};
+use crate::storage::{Checkpoint, Record, Storage, Vote};
+use crate::view::{Member, View};
+use marblecroft_log::Recovered;
+use marblecroft_wire::{decode, encode, Bytes, Message};
+use musli::{Decode, Encode};
+use std::collections::VecDeque;
+use std::io;
+
+/// Records behind a checkpoint, in bytes, after which a new segment begins.
+const SEGMENT_MOST: u64 = 48 << 20;
+/// Entries that are kept for members that are a little behind, in bytes.
+const RECENT_MOST: usize = 4 << 20;
+
+/// A deterministic state that operations change.
+pub trait StateMachine: Sized {
+    type Operation: Message;
+    type Output;
+
+    /// Carries out one operation. Every member carries out the same ones in the same order.
+    fn apply(&mut self, operation: Self::Operation) -> Self::Output;
+
+    /// The whole state.
+    fn snapshot(&self) -> Vec<u8>;
+
+    /// The state that a snapshot tells; `None` where it cannot be read.
+    fn restore(snapshot: &[u8]) -> Option<Self>;
+}
+
+/// A place in a chain's history. Equal positions mean equal states.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct Position {
+    /// Entries so far.
+    pub index: u64,
+    /// Hash over all of them, in order.
+    pub hash: u64,
+}
+
+impl Position {
+    /// The position after one more entry.
+    pub fn after(self, entry: &[u8]) -> Position {
+        // FNV-1a, carried on from the hash of all entries before.
+        const PRIME: u64 = 0x0100_0000_01b3;
+        const BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+        let mix = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(PRIME);
+        let hash = self.hash.to_le_bytes().iter().fold(BASIS, mix);
+        Position { index: self.index + 1, hash: entry.iter().fold(hash, mix) }
+    }
+}
+
+/// What became of an [`Append`] or [`Install`] at this member.
+#[derive(Debug)]
+pub enum Received {
+    /// It holds everything up to the sender's position, on disk.
+    Held,
+    Mismatch(Position),
+    Stale(View),
+    NotMember,
+    Storage(io::Error),
+}
+
+/// An entry that is kept for members that are a little behind.
+struct Recent {
+    before: Position,
+    entry: Vec<u8>,
+}
+
+/// One member's state.
+pub struct Replica<M, S> {
+    identity: u64,
+    view: View,
+    complete: bool,
+    vote: Vote,
+    position: Position,
+    machine: M,
+    committed: Position,
+    storage: S,
+    recent: VecDeque<Recent>,
+    recent_bytes: usize,
+}
+
+impl<M: StateMachine, S: Storage> Replica<M, S> {
+    /// The state that was found on disk, or `empty` where there was none, with `identity` as its identity. `founding` is the
+    /// first view of a member that founds a chain.
+    pub fn open(
+        storage: S,
+        recovered: Recovered,
+        empty: M,
+        identity: u64,
+        founding: Option<View>,
+    ) -> io::Result<Replica<M, S>> {
+        let unreadable = |what: &str| io::Error::new(io::ErrorKind::InvalidData, what.to_owned());
+        let mut replica = Replica {
+            identity,
+            complete: founding.is_some(),
+            view: founding.unwrap_or_default(),
+            vote: Vote::default(),
+            position: Position::default(),
+            machine: empty,
+            committed: Position::default(),
+            storage,
+            recent: VecDeque::new(),
+            recent_bytes: 0,
+        };
+        if let Some(snapshot) = recovered.snapshot {
+            let checkpoint: Checkpoint =
+                decode(&snapshot).map_err(|e| unreadable(&format!("checkpoint: {e}")))?;
+            replica.identity = checkpoint.identity;
+            replica.view = checkpoint.view;
+            replica.complete = checkpoint.complete;
+            replica.vote = checkpoint.vote;
+            replica.position = checkpoint.position;
+            replica.machine = M::restore(&checkpoint.machine.0).ok_or_else(|| unreadable("state"))?;
+        }
+        for record in recovered.records {
+            match decode(&record).map_err(|e| unreadable(&format!("record: {e}")))? {
+                Record::Entry(entry) => drop(replica.apply(entry.0)),
+                Record::View { view, complete } => {
+                    replica.view = view;
+                    replica.complete = complete;
+                }
+                Record::Vote(vote) => replica.vote = vote,
+            }
+        }
+        replica.start_segment()?;
+        Ok(replica)
+    }
+
+    pub fn identity(&self) -> u64 {
+        self.identity
+    }
+
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    pub fn vote(&self) -> &Vote {
+        &self.vote
+    }
+
+    pub fn machine(&self) -> &M {
+        &self.machine
+    }
+
+    pub fn position(&self) -> Position {
+        self.position
+    }
+
+    /// Whether this member holds everything that was acknowledged in its view and before, as far as it knows.
+    pub fn complete(&self) -> bool {
+        self.complete
+    }
+
+    /// Whether this member orders operations.
+    pub fn is_head(&self) -> bool {
+        self.complete && self.view.head().is_some_and(|head| head.identity == self.identity)
+    }
+
+    pub fn successor(&self) -> Option<(&Member, usize)> {
+        self.view.successor_of(self.identity)
+    }
+
+    /// Whether the whole chain is known to hold this state.
+    pub fn settled(&self) -> bool {
+        self.committed == self.position
+    }
+
+    /// The whole chain holds what this member held at `position`.
+    pub fn settle(&mut self, position: Position) {
+        if position.index >= self.committed.index {
+            self.committed = position;
+        }
+    }
+
+    fn checkpoint(&self) -> Vec<u8> {
+        encode(&Checkpoint {
+            identity: self.identity,
+            view: self.view.clone(),
+            complete: self.complete,
+            vote: self.vote.clone(),
+            position: self.position,
+            machine: Bytes(self.machine.snapshot()),
+        })
+    }
+
+    fn start_segment(&mut self) -> io::Result<()> {
+        let checkpoint = self.checkpoint();
+        self.storage.start_segment(&checkpoint)
+    }
+
+    /// Writes changes to disk before they are made in memory. After an error the next change begins a segment.
+    fn persist(&mut self, records: &[Record]) -> io::Result<()> {
+        if !self.storage.is_writable() || self.storage.record_bytes() > SEGMENT_MOST {
+            self.start_segment()?;
+        }
+        let encoded: Vec<Vec<u8>> = records.iter().map(encode).collect();
+        let parts: Vec<&[u8]> = encoded.iter().map(Vec::as_slice).collect();
+        self.storage.append(&parts)
+    }
+
+    fn apply(&mut self, entry: Vec<u8>) -> Vec<M::Output> {
+        let before = self.position;
+        self.position = before.after(&entry);
+        // An entry was encoded by a head of the same version; one that cannot be read changes nothing anywhere.
+        let operations: Vec<M::Operation> = decode(&entry).unwrap_or_default();
+        self.recent_bytes += entry.len();
+        self.recent.push_back(Recent { before, entry });
+        while self.recent_bytes > RECENT_MOST {
+            let Some(oldest) = self.recent.pop_front() else { break };
+            self.recent_bytes -= oldest.entry.len();
+        }
+        operations.into_iter().map(|operation| self.machine.apply(operation)).collect()
+    }
+
+    /// Orders operations as the head: they are on this member's disk on return, and acknowledged once the chain holds them.
+    pub fn propose(&mut self, operations: &Vec<M::Operation>) -> io::Result<Vec<M::Output>> {
+        let entry = encode(operations);
+        self.persist(&[Record::Entry(Bytes(entry.clone()))])?;
+        Ok(self.apply(entry))
+    }
+
+    /// The entries from a position to this member's; `None` where they are not kept any more or never were here.
+    pub fn entries_since(&self, from: Position) -> Option<Vec<Bytes>> {
+        if from == self.position {
+            return Some(Vec::new());
+        }
+        let first = self.recent.iter().position(|recent| recent.before == from)?;
+        Some(self.recent.iter().skip(first).map(|recent| Bytes(recent.entry.clone())).collect())
+    }
+
+    /// The whole state, for a member whose own is another one.
+    pub fn install_message(&self) -> Install {
+        Install {
+            view: self.view.clone(),
+            position: self.position,
+            machine: Bytes(self.machine.snapshot()),
+        }
+    }
+
+    /// Takes notice of a view. This member stays complete only where it was in the view directly before.
+    pub fn learn(&mut self, view: &View) -> io::Result<bool> {
+        if view.number <= self.view.number {
+            return Ok(false);
+        }
+        let founds = view.number == 1 && self.position == Position::default();
+        let follows = self.complete && view.number == self.view.number + 1;
+        let complete = view.contains(self.identity) && (founds || follows);
+        self.persist(&[Record::View { view: view.clone(), complete }])?;
+        self.view = view.clone();
+        self.complete = complete;
+        Ok(true)
+    }
+
+    /// Why a message of this view is refused here, if it is.
+    fn refusal(&mut self, view: &View) -> Option<Received> {
+        if view.number < self.view.number {
+            return Some(Received::Stale(self.view.clone()));
+        }
+        if !view.contains(self.identity) {
+            return Some(Received::NotMember);
+        }
+        self.learn(view).err().map(Received::Storage)
+    }
+
+    /// Takes what the member before this one sends.
+    pub fn receive(&mut self, append: &Append) -> Received {
+        if let Some(refusal) = self.refusal(&append.view) {
+            return refusal;
+        }
+        let becomes_complete = !self.complete;
+        let mut records = Vec::new();
+        let mut end = self.position;
+        if self.position != append.to {
+            end = append.entries.iter().fold(append.from, |at, entry| at.after(&entry.0));
+            if append.from != self.position || end != append.to {
+                return Received::Mismatch(self.position);
+            }
+            records.extend(append.entries.iter().cloned().map(Record::Entry));
+        }
+        if becomes_complete {
+            records.push(Record::View { view: self.view.clone(), complete: true });
+        }
+        if !records.is_empty() {
+            if let Err(e) = self.persist(&records) {
+                return Received::Storage(e);
+            }
+        }
+        self.complete = true;
+        if end != self.position {
+            for entry in &append.entries {
+                drop(self.apply(entry.0.clone()));
+            }
+        }
+        Received::Held
+    }
+
+    /// Takes a whole state in place of this member's own.
+    pub fn install(&mut self, install: &Install) -> Received {
+        if let Some(refusal) = self.refusal(&install.view) {
+            return refusal;
+        }
+        let Some(machine) = M::restore(&install.machine.0) else {
+            return Received::Storage(io::Error::new(io::ErrorKind::InvalidData, "state"));
+        };
+        let (machine, position) =
+            (std::mem::replace(&mut self.machine, machine), std::mem::replace(&mut self.position, install.position));
+        let complete = std::mem::replace(&mut self.complete, true);
+        self.recent.clear();
+        self.recent_bytes = 0;
+        if let Err(e) = self.start_segment() {
+            // Nothing of it counts before it is on disk.
+            (self.machine, self.position, self.complete) = (machine, position, complete);
+            return Received::Storage(e);
+        }
+        Received::Held
+    }
+
+    /// Keeps a vote on the next view.
+    pub(crate) fn keep_vote(&mut self, vote: Vote) -> io::Result<()> {
+        self.persist(&[Record::Vote(vote.clone())])?;
+        self.vote = vote;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/system/protocol/src/coordinator.rs
@@ -0,0 +1,93 @@
+//! Calls that a coordinator answers.
+
+use crate::servers::{ListVersion, ServerList};
+use marblecroft_chain::agreement::{VoteReply, VoteRequest};
+use marblecroft_chain::{Append, AppendReply, Install, Member, Status, View};
+use marblecroft_wire::Bytes;
+use musli::{Decode, Encode};
+use std::net::SocketAddr;
+
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum CoordinatorRequest {
+    /// From the member before this one.
+    Append(Append),
+    /// From the member before this one.
+    Install(Install),
+    /// From a member that proposes a view.
+    Vote(VoteRequest),
+    /// From anyone: what this process says of itself.
+    Status,
+    /// From a process that is not in the view and would be.
+    Join(Member),
+    /// From a gateway: what is newer than what it has.
+    Pull(Pull),
+    /// From a store.
+    Report(StoreReport),
+}
+
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum CoordinatorReply {
+    Append(AppendReply),
+    Vote(VoteReply),
+    Status(Status),
+    Updates(Updates),
+    Stores(StoreDirective),
+    /// Noted; the view will tell.
+    Noted,
+    /// Another process is the head, as far as this one knows.
+    NotHead(Option<SocketAddr>),
+}
+
+/// The versions that a gateway has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct Versions {
+    /// Configurations taken, up to the one that it has.
+    pub configuration: u64,
+    pub servers: ListVersion,
+    /// Number of the view of the stores' chain.
+    pub stores: u64,
+}
+
+/// Asks for what is newer.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Pull {
+    pub have: Versions,
+    /// How long the answer may be held until there is something.
+    pub wait_ms: u32,
+}
+
+/// What is newer than what a gateway has.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct Updates {
+    /// Whether the coordinator is in touch with the others; one that was cut off tells old versions.
+    pub fresh: bool,
+    pub configuration: Option<ConfigurationUpdate>,
+    pub servers: Option<ServerList>,
+    pub stores: Option<View>,
+    /// Where coordinators are called.
+    pub coordinators: Vec<SocketAddr>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct ConfigurationUpdate {
+    pub sequence: u64,
+    pub body: Bytes,
+}
+
+/// What a store tells the head of the coordinators.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct StoreReport {
+    pub node: String,
+    pub zone: String,
+    pub address: SocketAddr,
+    pub status: Status,
+}
+
+/// What the head of the coordinators tells a store.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct StoreDirective {
+    /// The view of the stores' chain.
+    pub view: View,
+    /// Where coordinators are called.
+    pub coordinators: Vec<SocketAddr>,
+}
--- /dev/null
+++ b/system/protocol/src/store.rs
@@ -0,0 +1,112 @@
+//! Calls that a store answers.
+
+use marblecroft_batch::{Item, ItemOutcome, NewJob};
+use marblecroft_chain::{Append, AppendReply, Install, Status};
+use musli::{Decode, Encode};
+use std::net::SocketAddr;
+
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum StoreRequest {
+    /// From the member before this one.
+    Append(Append),
+    /// From the member before this one.
+    Install(Install),
+    /// From anyone: what this process says of itself.
+    Status,
+    /// Take a job.
+    Submit(NewJob),
+    /// Results of a job from a position on.
+    Read { job: String, start: u64, wait_ms: u32 },
+    /// The body of an item that is not listed.
+    Body { job: String, item: String },
+    /// End a job.
+    End { job: String },
+    /// From a gateway that runs items.
+    Work(WorkRequest),
+}
+
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum StoreReply {
+    Append(AppendReply),
+    Status(Status),
+    /// A job was taken.
+    Accepted,
+    /// A job does not fit; none of it runs.
+    OverQuota,
+    Results(ResultsPage),
+    Body(#[musli(bytes)] Vec<u8>),
+    /// A job was ended.
+    Ended,
+    /// There is no such job, or no such item without a result.
+    NotFound,
+    Work(WorkReply),
+    /// Another process is the head, as far as this one knows. Nothing was carried out.
+    NotHead(Option<SocketAddr>),
+    /// Too few copies would be made. Nothing was carried out.
+    Unavailable,
+    /// It may have been carried out.
+    Unknown,
+}
+
+/// A part of a job's results.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct ResultsPage {
+    /// Items of the job.
+    pub total: u64,
+    pub results: Vec<NamedResult>,
+}
+
+/// A result by the id of its item.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct NamedResult {
+    pub id: String,
+    pub outcome: ItemOutcome,
+}
+
+/// Names an item.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Encode, Decode)]
+pub struct ItemName {
+    pub job: String,
+    /// Its place in the job, counted from 0.
+    pub item: u32,
+}
+
+/// A gateway tells what it runs and has run, and asks for more.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct WorkRequest {
+    pub gateway: String,
+    pub running: Vec<ItemName>,
+    pub finished: Vec<FinishedItem>,
+    /// Items that it would begin.
+    pub room: u32,
+}
+
+/// An item that was run.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct FinishedItem {
+    pub name: ItemName,
+    pub outcome: ItemOutcome,
+}
+
+/// What a gateway is to do.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct WorkReply {
+    /// Items to run under a lease.
+    pub granted: Vec<GrantedItem>,
+    /// Items to stop: they are another gateway's, or are not wanted any more.
+    pub stop: Vec<ItemName>,
+    /// How long the leases last from when the request was sent.
+    pub lease_ms: u32,
+}
+
+/// An item to run.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct GrantedItem {
+    pub name: ItemName,
+    /// The host and route that its job came in with.
+    pub host: String,
+    pub route: String,
+    pub item: Item,
+    /// When its job was taken, in milliseconds since 1970.
+    pub taken_at_ms: u64,
+}
