Let the throttle be used outside the decisions: priorities by worth, no settings

Need: the serving tier's admission is the same loop and accumulator. Change: Shedder takes its priorities' worths; the settings work them out.

--- a/src/api.rs
+++ b/src/api.rs
@@ -1,5 +1,6 @@
 //! The interface of the decisions: what a gateway is told (settings, events) and what it asks for (actions).
 
+use crate::numbers::sane;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -97,6 +98,18 @@
     pub over_cost: f64,
 }
 
+impl Settings {
+    /// The worth of each priority of the throttle: a class under a plan, inside the quota and beyond it.
+    pub(crate) fn worths(&self) -> impl Iterator<Item = f64> + '_ {
+        let of_plan = move |plan: &'_ Plan| {
+            let factors = [1.0, sane(plan.over_worth - plan.over_cost)];
+            let price = sane(plan.price);
+            self.classes.iter().flat_map(move |class| factors.map(|factor| sane(class.worth) * price * factor))
+        };
+        self.plans.iter().flat_map(of_plan)
+    }
+}
+
 /// How the list of servers is learnt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Discovery {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -64,4 +64,5 @@
 pub use accounts::Memory;
 pub use api::*;
 pub use numbers::Random;
+pub use rules::throttle::{Shedder, STEP as THROTTLE_STEP};
 pub use rules::Gateway;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -17,7 +17,7 @@
 use server::{Out, Server, RATE_MEMORY, SILENT, SLOW_FORGET};
 use std::collections::BTreeMap;
 use std::time::Duration;
-use throttle::{Shedder, SAMPLES, STEP};
+use throttle::{Shedder, STEP};
 
 /// Steps between two slices of a customer (design: one second).
 const SLICE_STEPS: u64 = 10;
@@ -111,7 +111,7 @@
         cfg.max_units = sane(cfg.max_units).max(1.0);
         cfg.gateways = cfg.gateways.max(1);
         Gateway {
-            shedder: Shedder::new(&cfg),
+            shedder: Shedder::new(cfg.worths()),
             units: vec![1.0; cfg.classes.len()],
             latency: cfg.classes.iter().map(|c| c.aim.as_secs_f64() / 5.0).collect(),
             waits: vec![0.0; cfg.classes.len()],
--- a/src/rules/course.rs
+++ b/src/rules/course.rs
@@ -224,7 +224,7 @@
         }
         self.sends += 1.0;
         if attempt.0 == 0 {
-            self.shedder.samples[SAMPLES - 1].sent += self.cost(class);
+            self.shedder.sent(self.cost(class));
         }
         actions.push(Action::Send { id, server, until: deadline, begin_by });
         let token = Token(u64::from(id.0) << 2 | TOKEN_CHECK);
--- a/src/rules/throttle.rs
+++ b/src/rules/throttle.rs
@@ -1,13 +1,12 @@
 //! The throttle: overload detection, allocation and throttling (Kasera IV-B2, IV-C, IV-D).
 
-use crate::api::Settings;
-use crate::numbers::{mix, sane};
+use crate::numbers::mix;
 use serde::{Deserialize, Serialize};
 
 /// Seconds between assessments of the load (design).
-pub(crate) const STEP: f64 = 0.1;
+pub const STEP: f64 = 0.1;
 /// Samples that an assessment averages (design: k).
-pub(crate) const SAMPLES: usize = 3;
+const SAMPLES: usize = 3;
 /// Answers that make an interval a sample (ours).
 const SAMPLE_LEAST: f64 = 8.0;
 /// The load that the loop steers for, as occupancy (design).
@@ -42,8 +41,9 @@
 
 /// Overload detection, allocation and throttling (Kasera IV-B2, IV-C, IV-D).
 #[derive(Clone, Default, Serialize, Deserialize)]
-pub(crate) struct Shedder {
-    pub(crate) f: f64,
+pub struct Shedder {
+    /// The fraction of demand that is allowed.
+    pub f: f64,
     pub(crate) alpha_thresh: Option<f64>,
     pub(crate) samples: [Sample; SAMPLES],
     pub(crate) steps: u64,
@@ -56,23 +56,17 @@
 }
 
 impl Shedder {
-    pub(crate) fn new(cfg: &Settings) -> Shedder {
-        let mut priorities = Vec::new();
-        for plan in &cfg.plans {
-            for class in &cfg.classes {
-                for factor in [1.0, sane(plan.over_worth - plan.over_cost)] {
-                    let worth = sane(class.worth) * sane(plan.price) * factor;
-                    priorities.push(Priority { worth, arrived: 0.0, demand: 0.0, tau: 0.0, r: 0.0 });
-                }
-            }
-        }
+    /// A throttle that lets everything pass, with one priority for each worth.
+    pub fn new(worths: impl Iterator<Item = f64>) -> Shedder {
+        let priority = |worth| Priority { worth, arrived: 0.0, demand: 0.0, tau: 0.0, r: 0.0 };
+        let priorities: Vec<Priority> = worths.map(priority).collect();
         let mut order: Vec<usize> = (0..priorities.len()).collect();
         order.sort_by(|&a, &b| priorities[a].worth.total_cmp(&priorities[b].worth));
         Shedder { f: 1.0, priorities, order, ..Shedder::default() }
     }
 
     /// The accumulator (Kasera IV-D): whether one request of this priority passes.
-    pub(crate) fn pass(&mut self, priority: usize, cost: f64) -> bool {
+    pub fn pass(&mut self, priority: usize, cost: f64) -> bool {
         let p = &mut self.priorities[priority];
         p.arrived += cost;
         p.r += 1.0 - p.tau;
@@ -83,8 +77,13 @@
         pass
     }
 
+    /// Counts what was let in and sent on.
+    pub fn sent(&mut self, cost: f64) {
+        self.samples[SAMPLES - 1].sent += cost;
+    }
+
     /// Counts a latency over its aim in the interval that runs, as `count` answers.
-    pub(crate) fn sample(&mut self, count: f64, cost: f64, late: f64) {
+    pub fn sample(&mut self, count: f64, cost: f64, late: f64) {
         let sample = &mut self.samples[SAMPLES - 1];
         let weight = cost * count;
         sample.count += count;
@@ -96,7 +95,7 @@
     /// One assessment (Kasera IV-B2). `rho` is the reported occupancy where there is one.
     /// Departure: a sample is an interval that holds enough answers, so that k samples mean the same at a
     /// gateway that gets one answer in a second; else chance moves f, and as f ends at 1, only down.
-    pub(crate) fn assess(&mut self, reported: Option<f64>, lag: f64, idle: bool) {
+    pub fn assess(&mut self, reported: Option<f64>, lag: f64, idle: bool) {
         self.steps += 1;
         let sum = |part: fn(&Sample) -> f64| self.samples.iter().map(part).sum::<f64>();
         let alpha = sum(|s| s.sent) / sum(|s| s.span).max(STEP);
--- a/system/configuration/src/lib.rs
+++ b/system/configuration/src/lib.rs
@@ -9,7 +9,7 @@
 use document::Document;
 use quick_error::quick_error;
 use std::collections::{HashMap, HashSet};
-use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 quick_error! {
@@ -111,7 +111,7 @@
     pub limits: ClientLimits,
     services: HashMap<String, Service>,
     /// By host, the longest prefix first.
-    routes: HashMap<String, Vec<Rc<Route>>>,
+    routes: HashMap<String, Vec<Arc<Route>>>,
 }
 
 impl Configuration {
@@ -122,7 +122,7 @@
     }
 
     /// The route of a request, by its host and the path without the query.
-    pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let host = host.split(':').next().unwrap_or(host);
         let routes = match self.routes.get(host) {
             Some(routes) => routes,
@@ -139,7 +139,7 @@
         self.services.values()
     }
 
-    pub fn routes(&self) -> impl Iterator<Item = &Rc<Route>> {
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.routes.values().flatten()
     }
 
@@ -156,7 +156,7 @@
             }
         }
         let mut places = HashSet::new();
-        let mut by_host: HashMap<String, Vec<Rc<Route>>> = HashMap::new();
+        let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
             if let Some((unknown, _)) = route.backends.iter().find(|(name, _)| !by_name.contains_key(name)) {
                 return Err(Invalid::UnknownService(route.name, unknown.clone()));
@@ -165,7 +165,7 @@
             if !places.insert((host.clone(), route.path_prefix.clone())) {
                 return Err(Invalid::Duplicate(route.name));
             }
-            by_host.entry(host).or_default().push(Rc::new(route));
+            by_host.entry(host).or_default().push(Arc::new(route));
         }
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
