--- a/src/api.rs
+++ b/src/api.rs
@@ -104,7 +104,9 @@
         let of_plan = move |plan: &'_ Plan| {
             let factors = [1.0, sane(plan.over_worth - plan.over_cost)];
             let price = sane(plan.price);
-            self.classes.iter().flat_map(move |class| factors.map(|factor| sane(class.worth) * price * factor))
+            self.classes
+                .iter()
+                .flat_map(move |class| factors.map(|factor| sane(class.worth) * price * factor))
         };
         self.plans.iter().flat_map(of_plan)
     }
--- a/system/chain/src/chain.rs
+++ b/system/chain/src/chain.rs
@@ -393,7 +393,8 @@
         for _ in 0..ATTEMPTS {
             let mut replica = lock(&self.replica);
             let position = replica.position();
-            let Some((successor, left)) = replica.successor().map(|(member, left)| (member.clone(), left)) else {
+            let Some((successor, left)) = replica.successor().map(|(member, left)| (member.clone(), left))
+            else {
                 replica.settle(position);
                 self.publish(&replica);
                 drop(replica);
@@ -471,9 +472,7 @@
                 known(position);
                 Err(Failure::At(address))
             }
-            Some(AppendReply::NotMember | AppendReply::Storage) | None => {
-                Err(Failure::At(successor.address))
-            }
+            Some(AppendReply::NotMember | AppendReply::Storage) | None => Err(Failure::At(successor.address)),
         }
     }
 
--- a/system/chain/src/replica.rs
+++ b/system/chain/src/replica.rs
@@ -233,11 +233,7 @@
 
     /// The whole state, for a member whose own is another one.
     pub fn install_message(&self) -> Install {
-        Install {
-            view: self.view.clone(),
-            position: self.position,
-            machine: Bytes(self.machine.snapshot()),
-        }
+        Install { view: self.view.clone(), position: self.position, machine: Bytes(self.machine.snapshot()) }
     }
 
     /// Takes notice of a view. This member stays complete only where it was in the view directly before.
@@ -305,8 +301,10 @@
         let Some(machine) = M::restore(&install.machine.0) else {
             return Received::Storage(io::Error::new(io::ErrorKind::InvalidData, "state"));
         };
-        let (machine, position) =
-            (std::mem::replace(&mut self.machine, machine), std::mem::replace(&mut self.position, install.position));
+        let (machine, position) = (
+            std::mem::replace(&mut self.machine, machine),
+            std::mem::replace(&mut self.position, install.position),
+        );
         let complete = std::mem::replace(&mut self.complete, true);
         self.recent.clear();
         self.recent_bytes = 0;
--- a/system/configuration/tests/configuration.rs
+++ b/system/configuration/tests/configuration.rs
@@ -35,9 +35,17 @@
 #[test]
 fn what_is_invalid_is_refused_with_its_place() {
     let cases = [
-        ("\"backend\":\"s\",\"attempts\"", "\"backend\":\"t\",\"attempts\"", "route b: no service is named t"),
+        (
+            "\"backend\":\"s\",\"attempts\"",
+            "\"backend\":\"t\",\"attempts\"",
+            "route b: no service is named t",
+        ),
         ("\"/p/q/\"", "\"/p/\"", "route b: another route has the same hostname and path_prefix"),
-        ("\"weight\":90},{\"backend\":\"s\",\"weight\":10}", "\"weight\":0}", "route a: the weights add up to 0"),
+        (
+            "\"weight\":90},{\"backend\":\"s\",\"weight\":10}",
+            "\"weight\":0}",
+            "route a: the weights add up to 0",
+        ),
         ("\"timeout_ms\":2000", "\"timeout_ms\":0", "route a: timeout_ms is 0"),
         ("\"/p/\"", "\"p/\"", "route a: path_prefix must begin and end with a slash"),
         (
@@ -57,7 +65,8 @@
 #[test]
 fn json_is_one_whole_value_and_nothing_else() {
     let whole = ["{}", "[]", "0", "-1.5e+3", " {\"a\" : [1, true, null, \"\\u00e9\\n\"]} ", "\"x\""];
-    let not = ["", "{", "{}{}", "[1,]", "{\"a\":}", "{a:1}", "01", "1.", "+1", "\"\\x\"", "tru", "\"a", "[1 2]"];
+    let not =
+        ["", "{", "{}{}", "[1,]", "{\"a\":}", "{a:1}", "01", "1.", "+1", "\"\\x\"", "tru", "\"a", "[1 2]"];
     for text in whole {
         assert!(syntax::is_whole(text), "{text}");
     }
--- a/system/control-plane/src/coordinator.rs
+++ b/system/control-plane/src/coordinator.rs
@@ -57,7 +57,8 @@
 
 /// The first view, where this process is one of those that begin it.
 fn founding_view(settings: &Settings, address: SocketAddr) -> Option<(u64, View)> {
-    let founds = settings.bootstrap && settings.bind.control_plane.is_some_and(|own| settings.seeds.contains(&own));
+    let founds =
+        settings.bootstrap && settings.bind.control_plane.is_some_and(|own| settings.seeds.contains(&own));
     founds.then(|| {
         let founder = |seed: &SocketAddr| Member {
             address: coordinator_address(*seed, settings.ephemeral_ports),
@@ -83,12 +84,10 @@
 /// Runs a coordinator until the process ends.
 pub fn run(settings: &Settings) -> io::Result<()> {
     let missing = |what: &str| io::Error::new(io::ErrorKind::InvalidInput, format!("{what} is missing"));
-    let control_plane =
-        settings.bind.control_plane.ok_or_else(|| missing("bind_addresses.control_plane"))?;
+    let control_plane = settings.bind.control_plane.ok_or_else(|| missing("bind_addresses.control_plane"))?;
     let folder = settings.data_dir.as_ref().ok_or_else(|| missing("data_dir"))?;
     let address = internal_address(IpAddr::V4(settings.ip), settings.ephemeral_ports);
-    let replica =
-        disk::open::<Control>(folder, &address.to_string(), founding_view(settings, address))?;
+    let replica = disk::open::<Control>(folder, &address.to_string(), founding_view(settings, address))?;
     info!(identity = replica.identity(), view = replica.view().number, "coordinator starts");
     let known = settings.seeds.iter().map(|seed| coordinator_address(*seed, settings.ephemeral_ports));
     let coordinator = Arc::new(Coordinator {
--- a/system/control-plane/src/membership.rs
+++ b/system/control-plane/src/membership.rs
@@ -40,8 +40,7 @@
         }
     };
     thread::scope(|scope| {
-        let asked: Vec<_> =
-            addresses.iter().map(|&address| scope.spawn(move || ask(address))).collect();
+        let asked: Vec<_> = addresses.iter().map(|&address| scope.spawn(move || ask(address))).collect();
         asked.into_iter().filter_map(|asked| asked.join().ok().flatten()).collect()
     })
 }
@@ -78,7 +77,11 @@
     let rank = current.index_of(own).unwrap_or(0);
     let promised = coordinator.chain.with_replica(|replica| {
         let vote = replica.vote();
-        if vote.instance == current.number + 1 { vote.promised } else { 0 }
+        if vote.instance == current.number + 1 {
+            vote.promised
+        } else {
+            0
+        }
     });
     let proposal = View { number: current.number + 1, members };
     info!(view = proposal.number, members = proposal.members.len(), "proposes a view");
--- a/system/control-plane/src/operator.rs
+++ b/system/control-plane/src/operator.rs
@@ -142,10 +142,9 @@
 
 fn retired(coordinator: &Coordinator, node: &str) -> Reply {
     let name = node.to_owned();
-    let state = coordinator.chain.read(
-        move |control| (control.is_retired(&name), control.store_view().clone()),
-        READ_TIME,
-    );
+    let state = coordinator
+        .chain
+        .read(move |control| (control.is_retired(&name), control.store_view().clone()), READ_TIME);
     let (retired, view) = match state {
         Ok(state) => state,
         Err(e) => return refused(coordinator, &format!("{RETIRE_READ}{node}"), &e),
--- a/system/control-plane/src/store.rs
+++ b/system/control-plane/src/store.rs
@@ -264,7 +264,8 @@
             self.leases = Leases::default();
             // The head of the first view has nothing to wait for.
             let since = Instant::now();
-            let since = if granted_before || view > 1 { since } else { since.checked_sub(SETTLING).unwrap_or(since) };
+            let since =
+                if granted_before || view > 1 { since } else { since.checked_sub(SETTLING).unwrap_or(since) };
             self.view = Some((view, since));
         }
     }
--- a/system/control-plane/src/store_views.rs
+++ b/system/control-plane/src/store_views.rs
@@ -49,9 +49,8 @@
     }
 
     fn report_of(&self, member: &Member) -> Option<&StoreReport> {
-        self.living().find(|report| {
-            report.address == member.address && report.status.identity == member.identity
-        })
+        self.living()
+            .find(|report| report.address == member.address && report.status.identity == member.identity)
     }
 
     /// Whether a store of this name reports.
@@ -67,9 +66,8 @@
     /// Whether all members of this view hold everything.
     pub fn whole(&self, view: &View) -> bool {
         view.members.iter().all(|member| {
-            self.report_of(member).is_some_and(|report| {
-                report.status.view.number == view.number && report.status.complete
-            })
+            self.report_of(member)
+                .is_some_and(|report| report.status.view.number == view.number && report.status.complete)
         })
     }
 
@@ -88,9 +86,8 @@
             self.report_of(member).is_some() && !suspected && !retired(&member.node)
         };
         let complete = |member: &Member| {
-            self.report_of(member).is_some_and(|report| {
-                report.status.complete && report.status.view.number == current.number
-            })
+            self.report_of(member)
+                .is_some_and(|report| report.status.complete && report.status.view.number == current.number)
         };
         let (mut members, waiting): (Vec<Member>, Vec<Member>) =
             current.members.iter().filter(|member| works(member)).cloned().partition(|m| complete(m));
@@ -102,7 +99,8 @@
         }
         members.extend(waiting);
         if whole && members.len() < wanted {
-            let mut zones: Vec<&str> = members.iter().filter_map(|m| Some(&*self.report_of(m)?.zone)).collect();
+            let mut zones: Vec<&str> =
+                members.iter().filter_map(|m| Some(&*self.report_of(m)?.zone)).collect();
             let mut others: Vec<&StoreReport> = self
                 .living()
                 .filter(|report| !retired(&report.node) && !current.contains(report.status.identity))
@@ -139,8 +137,12 @@
         }
         let since = *views.judges_since.get_or_insert_with(Instant::now);
         let state = coordinator.chain.read_settled(|control| {
-            let retired: BTreeSet<String> =
-                views.seen.values().map(|seen| seen.report.node.clone()).filter(|n| control.is_retired(n)).collect();
+            let retired: BTreeSet<String> = views
+                .seen
+                .values()
+                .map(|seen| seen.report.node.clone())
+                .filter(|n| control.is_retired(n))
+                .collect();
             (control.store_view().clone(), retired)
         });
         let Some((current, retired)) = state else { continue };
--- /dev/null
+++ b/system/data-plane/src/batch_api.rs
@@ -0,0 +1,224 @@
+//! The batch interface: jobs are submitted, read and ended through any gateway; the stores keep them.
+
+use crate::body::{whole, AnswerBody};
+use crate::front::{own, refusal, Whole};
+use crate::gateway::Gateway;
+use crate::stores::Outcome;
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
+use hyper::header::{HeaderValue, CONTENT_TYPE};
+use hyper::{Method, Response, StatusCode};
+use marblecroft_batch::{Item, ItemOutcome, NewJob};
+use marblecroft_configuration::{syntax, Route};
+use marblecroft_protocol::store::{ResultsPage, StoreReply, StoreRequest};
+use marblecroft_wire::Bytes;
+use nanoserde::{DeJson, SerJson};
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::spawn_blocking;
+
+/// The most items of one job.
+const ITEMS_MOST: usize = 200;
+/// Time in which a job is taken; its client waits longer.
+const SUBMIT_TIME: Duration = Duration::from_millis(3000);
+const READ_TIME: Duration = Duration::from_millis(2200);
+/// The longest that a reading is held.
+const WAIT_MOST: u32 = 1000;
+/// Told to clients whose job does not fit, in seconds.
+const RETRY_QUOTA: &str = "0.7";
+const RETRY_SOON: &str = "0.3";
+
+const LOTS: &str = "/-/lots/";
+const ITEMS: &str = "/-/items/";
+
+#[derive(DeJson)]
+struct JobDocument {
+    requests: Vec<ItemDocument>,
+}
+
+#[derive(DeJson)]
+struct ItemDocument {
+    id: String,
+    path: String,
+    headers: Option<HashMap<String, String>>,
+    body: Option<String>,
+    tokens: f64,
+}
+
+#[derive(SerJson)]
+struct PageDocument {
+    total: u64,
+    next_page_token: u64,
+    results: Vec<ResultDocument>,
+}
+
+#[derive(SerJson)]
+struct ResultDocument {
+    id: String,
+    state: String,
+    text: String,
+}
+
+/// A call on a job that was submitted.
+pub enum Call {
+    Read {
+        job: String,
+        start: u64,
+        wait_ms: u32,
+    },
+    Body {
+        job: String,
+        item: String,
+    },
+    End {
+        job: String,
+    },
+    /// None that there is.
+    Unknown,
+}
+
+/// A parameter of a query.
+fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query.split('&').find_map(|pair| pair.split_once('=').filter(|pair| pair.0 == name)).map(|pair| pair.1)
+}
+
+impl Call {
+    /// The call that a request is; `None` where it is a client's request for a route.
+    pub fn of(request: &Whole) -> Option<Call> {
+        let path = request.uri.path();
+        let query = request.uri.query().unwrap_or_default();
+        if let Some(job) = path.strip_prefix(LOTS) {
+            let job = job.to_owned();
+            return Some(match request.method {
+                Method::GET => Call::Read {
+                    job,
+                    start: parameter(query, "start_after").and_then(|n| n.parse().ok()).unwrap_or(0),
+                    wait_ms: request.header("x-wait-ms").and_then(|ms| ms.trim().parse().ok()).unwrap_or(0),
+                },
+                Method::DELETE => Call::End { job },
+                _ => Call::Unknown,
+            });
+        }
+        let job = path.strip_prefix(ITEMS)?.to_owned();
+        Some(match (&request.method, parameter(query, "id")) {
+            (&Method::GET, Some(item)) => Call::Body { job, item: item.to_owned() },
+            _ => Call::Unknown,
+        })
+    }
+}
+
+fn json(body: String) -> Response<AnswerBody> {
+    let mut response = Response::new(whole(body));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+async fn call(gateway: &Gateway, request: StoreRequest, within: Duration) -> Outcome {
+    let stores = gateway.stores.clone();
+    spawn_blocking(move || stores.call(&request, within)).await.unwrap_or(Outcome::MayHaveRun)
+}
+
+/// The items of a job, or what is wrong with it.
+fn read_items(body: &[u8]) -> Result<Vec<Item>, String> {
+    let text = std::str::from_utf8(body).map_err(|e| e.to_string())?;
+    if !syntax::is_whole(text) {
+        return Err("not one whole JSON value".to_owned());
+    }
+    let document: JobDocument = DeJson::deserialize_json(text).map_err(|e| e.to_string())?;
+    if document.requests.is_empty() || document.requests.len() > ITEMS_MOST {
+        return Err(format!("requests: expected 1 to {ITEMS_MOST} items"));
+    }
+    let mut ids = HashSet::new();
+    let mut items = Vec::new();
+    for item in document.requests {
+        if !ids.insert(item.id.clone()) {
+            return Err(format!("item {} stands twice", item.id));
+        }
+        let body =
+            STANDARD.decode(item.body.unwrap_or_default()).map_err(|e| format!("item {}: {e}", item.id))?;
+        items.push(Item {
+            id: item.id,
+            path: item.path,
+            headers: item.headers.unwrap_or_default().into_iter().collect(),
+            body: Bytes(body),
+            // The conversion saturates.
+            tokens: item.tokens as u64,
+        });
+    }
+    Ok(items)
+}
+
+/// Takes a job.
+pub async fn submit(gateway: &Rc<Gateway>, route: &Arc<Route>, request: Whole) -> Response<AnswerBody> {
+    if request.method != Method::POST {
+        return own(StatusCode::METHOD_NOT_ALLOWED, "a job is submitted with POST");
+    }
+    let Some(id) = request.header("x-request-id").map(str::to_owned) else {
+        return own(StatusCode::BAD_REQUEST, "X-Request-Id is missing");
+    };
+    let items = match read_items(&request.body) {
+        Ok(items) => items,
+        Err(e) => return own(StatusCode::BAD_REQUEST, &e),
+    };
+    let job = NewJob {
+        id,
+        route: route.name.clone(),
+        host: request.host().to_owned(),
+        items,
+        max_queued_tokens: route.max_queued_tokens,
+        taken_at_ms: 0,
+    };
+    match call(gateway, StoreRequest::Submit(job), SUBMIT_TIME).await {
+        Outcome::Reply(reply) => match *reply {
+            StoreReply::Accepted => own(StatusCode::ACCEPTED, "taken"),
+            StoreReply::OverQuota => {
+                refusal(StatusCode::TOO_MANY_REQUESTS, "too many tokens wait", RETRY_QUOTA)
+            }
+            _ => own(StatusCode::GATEWAY_TIMEOUT, "the outcome is not known"),
+        },
+        Outcome::NotRun => refusal(StatusCode::SERVICE_UNAVAILABLE, "no store takes the job", RETRY_SOON),
+        Outcome::MayHaveRun => own(StatusCode::GATEWAY_TIMEOUT, "the outcome is not known"),
+    }
+}
+
+/// Answers a call on a job.
+pub async fn answer(gateway: &Rc<Gateway>, request: Call) -> Response<AnswerBody> {
+    let (request, start) = match request {
+        Call::Read { job, start, wait_ms } => {
+            (StoreRequest::Read { job, start, wait_ms: wait_ms.min(WAIT_MOST) }, start)
+        }
+        Call::Body { job, item } => (StoreRequest::Body { job, item }, 0),
+        Call::End { job } => (StoreRequest::End { job }, 0),
+        Call::Unknown => return own(StatusCode::NOT_FOUND, "no such call"),
+    };
+    let unsure =
+        || refusal(StatusCode::SERVICE_UNAVAILABLE, "the stores cannot say at the moment", RETRY_SOON);
+    match call(gateway, request, READ_TIME).await {
+        Outcome::Reply(reply) => match *reply {
+            StoreReply::Results(page) => json(page_json(page, start)),
+            StoreReply::Body(body) => Response::new(whole(body)),
+            StoreReply::Ended => own(StatusCode::OK, "ended"),
+            StoreReply::NotFound => own(StatusCode::NOT_FOUND, "there is none"),
+            _ => unsure(),
+        },
+        Outcome::NotRun | Outcome::MayHaveRun => unsure(),
+    }
+}
+
+fn page_json(page: ResultsPage, start: u64) -> String {
+    let results: Vec<ResultDocument> = page
+        .results
+        .into_iter()
+        .map(|result| {
+            let (state, text) = match result.outcome {
+                ItemOutcome::Completed(text) => ("completed", text),
+                ItemOutcome::DeadLettered => ("dead_lettered", String::new()),
+            };
+            ResultDocument { id: result.id, state: state.to_owned(), text }
+        })
+        .collect();
+    let next_page_token = start + results.len() as u64;
+    PageDocument { total: page.total, next_page_token, results }.serialize_json()
+}
--- a/system/log/src/lib.rs
+++ b/system/log/src/lib.rs
@@ -58,7 +58,8 @@
                 break;
             }
         }
-        let log = Log { folder: folder.to_owned(), number: newest, file: None, length: 0, snapshot_length: 0 };
+        let log =
+            Log { folder: folder.to_owned(), number: newest, file: None, length: 0, snapshot_length: 0 };
         Ok((log, recovered))
     }
 
--- /dev/null
+++ b/system/routing/src/lib.rs
@@ -0,0 +1,11 @@
+//! Which requests go on now, and to which model server; without I/O. All times are on one clock of the caller's that never
+//! goes back.
+#![forbid(unsafe_code)]
+
+pub mod admission;
+pub mod events;
+pub mod placement;
+pub mod prompt;
+
+/// Time on the caller's clock.
+pub type Now = std::time::Duration;
--- a/system/settings/src/fields.rs
+++ b/system/settings/src/fields.rs
@@ -41,9 +41,8 @@
     }
 
     fn converted<T: FromStr>(&self, key: &str, allowed: &'static str) -> Result<Option<T>, Error> {
-        let convert = |value: &str| {
-            value.parse().map_err(|_| Error::Value(key.to_owned(), value.to_owned(), allowed))
-        };
+        let convert =
+            |value: &str| value.parse().map_err(|_| Error::Value(key.to_owned(), value.to_owned(), allowed));
         self.optional(key).map(convert).transpose()
     }
 
--- a/system/settings/src/lib.rs
+++ b/system/settings/src/lib.rs
@@ -88,7 +88,8 @@
 impl Settings {
     /// Reads and checks the file at `path`.
     pub fn load(path: &Path) -> Result<Settings, Error> {
-        let text = std::fs::read_to_string(path).map_err(|cause| Error::Unreadable(path.to_owned(), cause))?;
+        let text =
+            std::fs::read_to_string(path).map_err(|cause| Error::Unreadable(path.to_owned(), cause))?;
         Settings::parse(&text)
     }
 
--- a/system/wire/src/http.rs
+++ b/system/wire/src/http.rs
@@ -33,7 +33,8 @@
 impl Request {
     /// The value of a header, by its name in any case.
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|header| header.field.as_str().as_str().eq_ignore_ascii_case(name));
+        let found =
+            self.headers.iter().find(|header| header.field.as_str().as_str().eq_ignore_ascii_case(name));
         found.map(|header| header.value.as_str())
     }
 }
@@ -118,8 +119,7 @@
     let accept = move || {
         for incoming in server.incoming_requests() {
             let handler = handler.clone();
-            let spawned =
-                thread::Builder::new().stack_size(STACK).spawn(move || answer(incoming, &*handler));
+            let spawned = thread::Builder::new().stack_size(STACK).spawn(move || answer(incoming, &*handler));
             if let Err(e) = spawned {
                 warn!("no thread for a request: {e}");
             }
