Give lists of servers the durable fencing token of their reader

Cause: a head that restarted in the same view counted its lists from one again, and gateways took them for old ones, so servers that drained were sent to for 3.5 s. Change: a reader takes a token from the coordinators' state.

--- a/system/control-plane/src/operator.rs
+++ b/system/control-plane/src/operator.rs
@@ -99,7 +99,7 @@
         Ok(Output::NotHigher(current)) => {
             Reply::text(400, &format!("generation {generation} is not higher than {current}"))
         }
-        Ok(Output::Done | Output::Ignored) => Reply::status(500),
+        Ok(Output::Done | Output::Ignored | Output::Token(_)) => Reply::status(500),
         Err(e) => refused(coordinator, &request.url, &e),
     }
 }
--- a/system/control/src/lib.rs
+++ b/system/control/src/lib.rs
@@ -21,6 +21,8 @@
     StoreView(View),
     /// A store machine is to be emptied.
     Retire { node: String },
+    /// A process begins to read the platform's list: gives it a fencing token that is higher than any before.
+    TakeReader,
 }
 
 /// What became of an operation.
@@ -34,6 +36,8 @@
     NotHigher(u64),
     Done,
     Ignored,
+    /// The fencing token of whoever reads the platform's list from now on.
+    Token(u64),
 }
 
 /// A configuration that was taken.
@@ -55,6 +59,8 @@
     taken: Vec<Taken>,
     store_view: View,
     retired: BTreeSet<String>,
+    /// The newest fencing token of whoever reads the platform's list.
+    reader_token: u64,
 }
 
 /// Hash over a body (FNV-1a, 64 bits), by which one that is sent again is known.
@@ -130,6 +136,10 @@
                 Output::Done
             }
             Operation::StoreView(_) => Output::Ignored,
+            Operation::TakeReader => {
+                self.reader_token += 1;
+                Output::Token(self.reader_token)
+            }
             Operation::Retire { node } => {
                 self.retired.insert(node);
                 Output::Done
--- a/system/control/tests/control.rs
+++ b/system/control/tests/control.rs
@@ -43,3 +43,11 @@
     assert_eq!(control.apply(view(2)), Output::Done);
     assert_eq!(control.store_view().number, 2);
 }
+
+#[test]
+fn every_reader_of_the_list_has_a_higher_token_than_all_before() {
+    let mut control = Control::default();
+    assert_eq!(control.apply(Operation::TakeReader), Output::Token(1));
+    let mut restored = Control::restore(&control.snapshot()).expect("a snapshot");
+    assert_eq!(restored.apply(Operation::TakeReader), Output::Token(2));
+}
--- a/system/protocol/src/servers.rs
+++ b/system/protocol/src/servers.rs
@@ -26,10 +26,10 @@
     pub servers: Vec<Server>,
 }
 
-/// Orders lists: a later reader's before an earlier one's, and a reader's own by their order. The epoch is the fencing token
-/// of the reader: the number of the view in which it reads.
+/// Orders lists: a later reader's are newer than an earlier one's, and a reader's own follow each other.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
 pub struct ListVersion {
+    /// The reader's fencing token.
     pub epoch: u64,
     pub sequence: u64,
 }
