Bound the items of all gateways by what live requests leave

Cause: a burst of batch jobs filled all slots of the servers, live requests came late, f fell and shed live requests in front of batch items.

--- a/system/batch/src/job.rs
+++ b/system/batch/src/job.rs
@@ -28,6 +28,8 @@
     pub max_queued_tokens: u64,
     /// When it was taken, in milliseconds since 1970 by the clock of whoever ordered it.
     pub taken_at_ms: u64,
+    /// Time from then by which all results are due.
+    pub due_after_ms: u64,
 }
 
 /// How an item ended.
@@ -60,6 +62,8 @@
     /// Jobs that were taken earlier have a lower number.
     pub order: u64,
     pub taken_at_ms: u64,
+    /// Time from then by which all results are due.
+    pub due_after_ms: u64,
     items: Vec<KeptItem>,
     results: Vec<ListedResult>,
     ended: bool,
@@ -73,6 +77,7 @@
             host: new.host,
             order,
             taken_at_ms: new.taken_at_ms,
+            due_after_ms: new.due_after_ms,
             items,
             results: Vec::new(),
             ended: false,
--- a/system/batch/src/lease.rs
+++ b/system/batch/src/lease.rs
@@ -5,6 +5,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+/// Time that an item is taken to need, in milliseconds.
+const RUN_MS: u64 = 1200;
+
 /// An item, by its job and its place in it.
 pub type ItemKey = (String, u32);
 
@@ -48,17 +51,22 @@
         lost
     }
 
-    /// Gives items that nobody holds to a gateway, those of the job that was taken first before others.
+    /// Gives items that nobody holds to a gateway: of the jobs that can still be done in time the one that is due first, and
+    /// after these the others. What is late already earns less, and would make the next ones late too.
     pub fn grant(
         &mut self,
         batch: &Batch,
         gateway: &str,
         room: usize,
         now: Duration,
+        time_ms: u64,
         term: Duration,
     ) -> Vec<ItemKey> {
         let mut open: Vec<_> = batch.open_jobs().collect();
-        open.sort_by_key(|(_, job)| job.order);
+        open.sort_by_key(|(_, job)| {
+            let due_ms = job.taken_at_ms.saturating_add(job.due_after_ms);
+            (due_ms < time_ms.saturating_add(RUN_MS), due_ms, job.order)
+        });
         let mut granted = Vec::new();
         for (id, job) in open {
             for item in job.unlisted_items() {
--- a/system/batch/src/lib.rs
+++ b/system/batch/src/lib.rs
@@ -4,6 +4,7 @@
 //! lost at any time: an item that is run twice still has one result, the first that was recorded.
 #![forbid(unsafe_code)]
 
+pub mod capacity;
 pub mod job;
 pub mod lease;
 
--- a/system/control-plane/src/store.rs
+++ b/system/control-plane/src/store.rs
@@ -2,6 +2,7 @@
 
 use crate::disk;
 use crate::transport::StoreTransport;
+use marblecroft_batch::capacity::Capacity;
 use marblecroft_batch::lease::{ItemKey, Leases};
 use marblecroft_batch::{Batch, ItemOutcome, NewJob, Operation, Output};
 use marblecroft_chain::{Chain, Options, Refused};
@@ -42,10 +43,11 @@
 /// The chain of the stores.
 type BatchChain = Chain<Batch, Log, StoreTransport>;
 
-/// Leases, and since when this process grants them.
+/// Leases, how many there may be, and since when this process grants them.
 #[derive(Default)]
 struct Granting {
     leases: Leases,
+    capacity: Capacity,
     /// The view that they belong to, and since when it is known.
     view: Option<(u64, Instant)>,
 }
@@ -179,16 +181,20 @@
         let view = self.chain.status().view.number;
         let granting = self.granting.clone();
         let now = self.started.elapsed();
-        let (gateway, room) = (work.gateway, work.room as usize);
-        let running = work.running.into_iter().map(|name| (name.job, name.item)).collect();
+        let (gateway, room, load) = (work.gateway, work.room as usize, work.load);
+        let running: Vec<ItemKey> = work.running.into_iter().map(|name| (name.job, name.item)).collect();
         let grant = move |batch: &Batch| {
             let mut granting = granting.lock().unwrap_or_else(PoisonError::into_inner);
             granting.enter(view);
             finished.iter().for_each(|key| granting.leases.release(key));
             granting.leases.sweep(now);
+            granting.capacity.note(&gateway, load.live, load.slots, now);
+            let own = running.len();
             let stop = granting.leases.renew(batch, &gateway, running, now, LEASE);
-            let room = if granting.settled() { room } else { 0 };
-            let granted = granting.leases.grant(batch, &gateway, room, now, LEASE);
+            let left = granting.capacity.items().saturating_sub(granting.leases.len());
+            let of_one = granting.capacity.items_of_one().saturating_sub(own);
+            let room = if granting.settled() { room.min(left).min(of_one) } else { 0 };
+            let granted = granting.leases.grant(batch, &gateway, room, now, now_ms(), LEASE);
             WorkReply {
                 granted: granted.iter().filter_map(|key| granted_item(batch, key)).collect(),
                 stop: stop.into_iter().map(|(job, item)| ItemName { job, item }).collect(),
--- a/system/data-plane/src/batch_api.rs
+++ b/system/data-plane/src/batch_api.rs
@@ -169,6 +169,7 @@
         items,
         max_queued_tokens: route.max_queued_tokens,
         taken_at_ms: 0,
+        due_after_ms: u64::try_from(route.completion_target.as_millis()).unwrap_or(u64::MAX),
     };
     match call(gateway, StoreRequest::Submit(job), SUBMIT_TIME).await {
         Outcome::Reply(reply) => match *reply {
--- a/system/data-plane/src/batch_runner.rs
+++ b/system/data-plane/src/batch_runner.rs
@@ -14,7 +14,7 @@
 use marblecroft_batch::ItemOutcome;
 use marblecroft_protocol::servers::Server;
 use marblecroft_protocol::store::{
-    FinishedItem, GrantedItem, ItemName, StoreReply, StoreRequest, WorkRequest,
+    FinishedItem, GatewayLoad, GrantedItem, ItemName, StoreReply, StoreRequest, WorkRequest,
 };
 use marblecroft_routing::events::Splitter;
 use marblecroft_routing::placement::{ToldLoad, Wish};
@@ -29,7 +29,7 @@
 use tracing::debug;
 
 /// Items that one gateway runs at once.
-const ITEMS_MOST: usize = 20;
+const ITEMS_MOST: usize = 64;
 /// Pause between two questions for work.
 const ASK_EVERY: Duration = Duration::from_millis(250);
 /// Results wait so long for others, so that several are recorded at once.
@@ -37,7 +37,7 @@
 /// Time for a question.
 const ASK_TIME: Duration = Duration::from_millis(2500);
 /// An item goes to a server that is taken no further than this.
-const LOAD_MOST: f64 = 0.75;
+const LOAD_MOST: f64 = 0.88;
 /// Pause where no server has room.
 const ROOM_PAUSE: Duration = Duration::from_millis(40);
 /// Pause after an attempt that failed.
@@ -101,6 +101,7 @@
             running,
             finished: finished.clone(),
             room: u32::try_from(room).unwrap_or(0),
+            load: GatewayLoad { live: gateway.live.recent_mean(), slots: gateway.fleet.borrow().all_slots() },
         });
         let stores = gateway.stores.clone();
         let asked_at = Instant::now();
--- a/system/data-plane/src/gateway.rs
+++ b/system/data-plane/src/gateway.rs
@@ -1,6 +1,7 @@
 //! One gateway process: its threads, and what its tasks share.
 
 use crate::batch_runner;
+use crate::concurrency::Concurrency;
 use crate::front;
 use crate::puller;
 use crate::readiness;
@@ -44,6 +45,8 @@
     pub admission: RefCell<Admission>,
     /// Client requests that have no whole answer yet.
     pub in_flight: Cell<usize>,
+    /// Live requests at servers.
+    pub live: Concurrency,
     started: Instant,
 }
 
@@ -154,6 +157,7 @@
         fleet: RefCell::new(Fleet::new(&settings.zone, seed)),
         admission: RefCell::default(),
         in_flight: Cell::new(0),
+        live: Concurrency::default(),
         started: Instant::now(),
         state,
         settings,
--- a/system/data-plane/src/live.rs
+++ b/system/data-plane/src/live.rs
@@ -30,7 +30,7 @@
 use tracing::debug;
 
 /// Servers that refuse, or do not come up, that one request is offered to.
-const OFFERS_MOST: usize = 5;
+const OFFERS_MOST: u32 = 5;
 /// An answer is out so long before the client stops waiting.
 const WAY_BACK: Duration = Duration::from_millis(15);
 /// A server that has said nothing for so long may be a machine that has vanished; a stream that can be taken up elsewhere
@@ -75,6 +75,7 @@
 impl Placed {
     fn new(gateway: &Rc<Gateway>, server: Server) -> Placed {
         gateway.fleet.borrow_mut().sent(&server.id);
+        gateway.live.enter();
         Placed { gateway: gateway.clone(), server }
     }
 }
@@ -82,6 +83,7 @@
 impl Drop for Placed {
     fn drop(&mut self) {
         self.gateway.fleet.borrow_mut().ended(&self.server.id);
+        self.gateway.live.leave();
     }
 }
 
@@ -99,7 +101,7 @@
     /// Attempts that may have run.
     runs: u32,
     /// Offers that a server refused, or that did not reach one.
-    offers: usize,
+    offers: u32,
 }
 
 /// What one attempt came to.
@@ -179,11 +181,10 @@
 
     /// The answer where no server takes the request, or time is up.
     fn give_up(&self) -> Response<AnswerBody> {
-        self.gateway.admission.borrow_mut().sample(
-            &self.route.name,
-            self.route.timeout,
-            self.route.target_latency,
-        );
+        if self.runs + self.offers > 0 {
+            let (deadline, aim) = (self.route.timeout, self.route.target_latency);
+            self.gateway.admission.borrow_mut().sample(&self.route.name, deadline, aim);
+        }
         if self.runs > 0 && !self.route.may_run_twice() {
             return own(StatusCode::BAD_GATEWAY, "no server has answered");
         }
--- a/system/data-plane/src/main.rs
+++ b/system/data-plane/src/main.rs
@@ -5,6 +5,7 @@
 mod batch_api;
 mod batch_runner;
 mod body;
+mod concurrency;
 mod flags;
 mod front;
 mod gateway;
--- a/system/protocol/src/store.rs
+++ b/system/protocol/src/store.rs
@@ -79,6 +79,17 @@
     pub finished: Vec<FinishedItem>,
     /// Items that it would begin.
     pub room: u32,
+    /// What it sees of the servers, by which the stores bound how many items all gateways run.
+    pub load: GatewayLoad,
+}
+
+/// What a gateway sees of the servers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Encode, Decode)]
+pub struct GatewayLoad {
+    /// Live requests that it had at servers at once lately, in the mean.
+    pub live: f64,
+    /// Slots of all servers that requests may be sent to.
+    pub slots: u32,
 }
 
 /// An item that was run.
--- a/system/routing/src/admission.rs
+++ b/system/routing/src/admission.rs
@@ -33,6 +33,8 @@
     /// Average cost of each class's requests, in tokens.
     costs: Vec<f64>,
     assessed_at: Now,
+    /// Whether the servers tell their load; latencies stand in for it only where they do not.
+    told: bool,
 }
 
 impl Admission {
@@ -80,7 +82,7 @@
     /// A first event came after `latency`, where `aim` was wanted. A refusal or a time-out counts as the deadline.
     pub fn sample(&mut self, route: &str, latency: Duration, aim: Duration) {
         let Some(&place) = self.places.get(route) else { return };
-        let late = latency.as_secs_f64() / aim.as_secs_f64().max(1e-3);
+        let late = if self.told { 0.0 } else { latency.as_secs_f64() / aim.as_secs_f64().max(1e-3) };
         let cost = self.relative_cost(place);
         self.shedder.sample(1.0, cost, late);
     }
@@ -88,6 +90,7 @@
     /// Assesses the load when a step is over. `occupancy` is how far the servers are taken, where they tell; `idle` says
     /// that nothing is out.
     pub fn assess(&mut self, now: Now, occupancy: Option<f64>, lag: Duration, idle: bool) {
+        self.told = occupancy.is_some_and(|occupancy| occupancy > 0.0);
         while now.saturating_sub(self.assessed_at) >= STEP {
             self.assessed_at =
                 if now.saturating_sub(self.assessed_at) > STEP * 10 { now } else { self.assessed_at + STEP };
--- a/system/routing/src/placement.rs
+++ b/system/routing/src/placement.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// What others have at a server is taken to halve in this time after it was told.
-const FADES_IN: Duration = Duration::from_millis(400);
+const FADES_IN: Duration = Duration::from_millis(1500);
 /// A server that did not come up, or fell silent, is left alone for so long at first ...
 const AVOID_FIRST: Duration = Duration::from_millis(500);
 /// ... and twice as long each time, up to this.
@@ -231,8 +231,9 @@
         (slots > 0.0).then(|| load / slots)
     }
 
-    /// Slots of all servers of a service.
-    pub fn slots(&self, service: &str) -> u32 {
-        self.of_service(service).map(|known| known.server.slots).sum()
+    /// Slots of all servers that requests may be sent to.
+    pub fn all_slots(&self) -> u32 {
+        let usable = self.known.values().filter(|known| known.listed && !known.server.draining);
+        usable.map(|known| known.server.slots).sum()
     }
 }
