Keep what a member passes on in order, bound rounds, let survivors of a chain go on at once

Cause: after a loss whole states were sent again and again down the chain, one could arrive late and take back what was acknowledged. Change: one message at a time to the successor, an older whole state is refused, rounds of 512 KB, the newest entry is always kept, joiners one by one after the survivors' view.

--- a/system/batch/src/lib.rs
+++ b/system/batch/src/lib.rs
@@ -125,6 +125,14 @@
         }
     }
 
+    fn size_of(operation: &Operation) -> usize {
+        match operation {
+            Operation::Submit(new) => new.items.iter().map(|item| item.body.0.len()).sum(),
+            Operation::Record { outcome: ItemOutcome::Completed(text), .. } => text.len(),
+            _ => 0,
+        }
+    }
+
     fn snapshot(&self) -> Vec<u8> {
         encode(self)
     }
--- a/system/chain/src/chain.rs
+++ b/system/chain/src/chain.rs
@@ -20,6 +20,8 @@
 
 /// Times that a member's position is asked for anew in one round before it counts as failed.
 const ATTEMPTS: usize = 4;
+/// Operations of one round, in bytes; one that is larger has a round of its own.
+const ROUND_MOST: usize = 512 << 10;
 /// Pause after a round that did not go through the chain.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 
@@ -103,6 +105,8 @@
     replica: Mutex<Replica<M, S>>,
     observed: Mutex<Observed>,
     queue: Mutex<Vec<Pending<M>>>,
+    /// Held while this member passes something on: what it sends reaches its successor in order.
+    passing: Mutex<()>,
     /// Something waits in the queue.
     queued: Condvar,
     /// The state was settled, or the notice has changed.
@@ -122,6 +126,7 @@
             replica: Mutex::new(replica),
             observed: Mutex::default(),
             queue: Mutex::default(),
+            passing: Mutex::default(),
             queued: Condvar::new(),
             changed: Condvar::new(),
             transport,
@@ -231,7 +236,7 @@
         }
         let learnt = self.with_replica(|replica| replica.learn(view));
         match &learnt {
-            Ok(true) => info!(view = view.number, members = view.members.len(), "a new view"),
+            Ok(true) => info!("view {} with {}", view.number, view.addresses()),
             Ok(false) => {}
             Err(e) => warn!("a view could not be kept: {e}"),
         }
@@ -288,7 +293,22 @@
         let queue = lock(&self.queue);
         let timed = self.queued.wait_timeout_while(queue, self.options.heartbeat, |queue| queue.is_empty());
         let (mut queue, _) = timed.unwrap_or_else(PoisonError::into_inner);
-        std::mem::take(&mut queue)
+        Self::take_round(&mut queue)
+    }
+
+    /// Takes what one round carries off the front of the queue.
+    fn take_round(queue: &mut Vec<Pending<M>>) -> Vec<Pending<M>> {
+        let mut bytes = 0;
+        let fits = |pending: &Pending<M>| {
+            let first = bytes == 0;
+            if let Pending::Operation(operation, _) = pending {
+                bytes += M::size_of(operation);
+            }
+            first || bytes <= ROUND_MOST
+        };
+        let taken = queue.iter().map(fits).take_while(|fits| *fits).count();
+        let rest = queue.split_off(taken);
+        std::mem::replace(queue, rest)
     }
 
     /// Runs the head's rounds, until the process ends.
@@ -305,7 +325,7 @@
 
     /// Runs one round of the head's without waiting for work; for tests, and for callers with a clock of their own.
     pub fn run_round(&self) {
-        let pending = std::mem::take(&mut *lock(&self.queue));
+        let pending = Self::take_round(&mut lock(&self.queue));
         self.round(pending);
     }
 
@@ -390,6 +410,7 @@
 
     /// Brings the members that follow to this member's position, and settles it.
     fn pass_on(&self, healthy: bool) -> Result<(), Failure> {
+        let _passing = lock(&self.passing);
         for _ in 0..ATTEMPTS {
             let mut replica = lock(&self.replica);
             let position = replica.position();
@@ -442,7 +463,7 @@
     }
 
     fn send_state(&self, successor: &Member, install: &Install) -> Result<(), Failure> {
-        info!(to = %successor.address, index = install.position.index, "sends its whole state");
+        info!("sends its whole state, {} bytes, to {}", install.machine.0.len(), successor.address);
         let reply = self.transport.install(successor, install, self.options.install_time);
         self.judge(successor, reply, install.position).map(drop)
     }
--- a/system/chain/src/replica.rs
+++ b/system/chain/src/replica.rs
@@ -13,7 +13,7 @@
 /// Records behind a checkpoint, in bytes, after which a new segment begins.
 const SEGMENT_MOST: u64 = 48 << 20;
 /// Entries that are kept for members that are a little behind, in bytes.
-const RECENT_MOST: usize = 4 << 20;
+const RECENT_MOST: usize = 8 << 20;
 
 /// A deterministic state that operations change.
 pub trait StateMachine: Sized {
@@ -23,6 +23,9 @@
     /// Carries out one operation. Every member carries out the same ones in the same order.
     fn apply(&mut self, operation: Self::Operation) -> Self::Output;
 
+    /// Bytes that an operation takes, roughly; bounds what one round carries.
+    fn size_of(operation: &Self::Operation) -> usize;
+
     /// The whole state.
     fn snapshot(&self) -> Vec<u8>;
 
@@ -80,6 +83,8 @@
     storage: S,
     recent: VecDeque<Recent>,
     recent_bytes: usize,
+    /// The view in which the member before this one has brought it to its own state. From then on positions only grow.
+    followed: u64,
 }
 
 impl<M: StateMachine, S: Storage> Replica<M, S> {
@@ -104,6 +109,7 @@
             storage,
             recent: VecDeque::new(),
             recent_bytes: 0,
+            followed: 0,
         };
         if let Some(snapshot) = recovered.snapshot {
             let checkpoint: Checkpoint =
@@ -208,7 +214,8 @@
         let operations: Vec<M::Operation> = decode(&entry).unwrap_or_default();
         self.recent_bytes += entry.len();
         self.recent.push_back(Recent { before, entry });
-        while self.recent_bytes > RECENT_MOST {
+        // The newest is always kept: the member that follows has yet to get it.
+        while self.recent_bytes > RECENT_MOST && self.recent.len() > 1 {
             let Some(oldest) = self.recent.pop_front() else { break };
             self.recent_bytes -= oldest.entry.len();
         }
@@ -285,6 +292,7 @@
             }
         }
         self.complete = true;
+        self.followed = self.view.number;
         if end != self.position {
             for entry in &append.entries {
                 drop(self.apply(entry.0.clone()));
@@ -298,6 +306,10 @@
         if let Some(refusal) = self.refusal(&install.view) {
             return refusal;
         }
+        if self.followed == self.view.number && install.position.index <= self.position.index {
+            // Sent before what this member has taken since, and late: taking it would lose what was acknowledged.
+            return Received::Mismatch(self.position);
+        }
         let Some(machine) = M::restore(&install.machine.0) else {
             return Received::Storage(io::Error::new(io::ErrorKind::InvalidData, "state"));
         };
@@ -313,6 +325,7 @@
             (self.machine, self.position, self.complete) = (machine, position, complete);
             return Received::Storage(e);
         }
+        self.followed = self.view.number;
         Received::Held
     }
 
--- a/system/chain/src/view.rs
+++ b/system/chain/src/view.rs
@@ -44,6 +44,12 @@
         Some((self.members.get(next)?, self.members.len() - next))
     }
 
+    /// Where the members are called, in order, for logs.
+    pub fn addresses(&self) -> String {
+        let addresses: Vec<String> = self.members.iter().map(|member| member.address.to_string()).collect();
+        addresses.join(" ")
+    }
+
     /// Members that are more than half.
     pub fn majority(&self) -> usize {
         self.members.len() / 2 + 1
--- a/system/control-plane/src/coordinator.rs
+++ b/system/control-plane/src/coordinator.rs
@@ -88,7 +88,7 @@
     let folder = settings.data_dir.as_ref().ok_or_else(|| missing("data_dir"))?;
     let address = internal_address(IpAddr::V4(settings.ip), settings.ephemeral_ports);
     let replica = disk::open::<Control>(folder, &address.to_string(), founding_view(settings, address))?;
-    info!(identity = replica.identity(), view = replica.view().number, "coordinator starts");
+    info!("coordinator {:x} starts in view {}", replica.identity(), replica.view().number);
     let known = settings.seeds.iter().map(|seed| coordinator_address(*seed, settings.ephemeral_ports));
     let coordinator = Arc::new(Coordinator {
         chain: Chain::new(replica, CoordinatorTransport::default(), options(settings)),
--- a/system/control-plane/src/membership.rs
+++ b/system/control-plane/src/membership.rs
@@ -84,7 +84,7 @@
         }
     });
     let proposal = View { number: current.number + 1, members };
-    info!(view = proposal.number, members = proposal.members.len(), "proposes a view");
+    info!("proposes view {}: {}", proposal.number, proposal.addresses());
     match decide(current, proposal, next_ballot(promised, rank), &voters) {
         Outcome::Decided(view) => {
             coordinator.chain.learn(&view);
@@ -98,7 +98,7 @@
                 let request = VoteRequest::Prepare { instance, ballot: outbid };
                 coordinator.chain.with_replica(|replica| replica.answer_vote(&request));
             }
-            warn!(view = current.number + 1, "no view was agreed");
+            warn!("view {} was not agreed", current.number + 1);
             false
         }
     }
--- a/system/control-plane/src/operator.rs
+++ b/system/control-plane/src/operator.rs
@@ -92,7 +92,7 @@
     let operation = Operation::Replace { base, generation, body: Bytes(request.body.clone()) };
     match coordinator.chain.submit(operation, CHANGE_TIME) {
         Ok(Output::Taken) => {
-            info!(generation, "a configuration is in force");
+            info!("configuration {generation} is in force");
             Reply::status(200)
         }
         Ok(Output::Conflict(current)) => Reply::text(412, &format!("version {current} is current")),
--- a/system/control-plane/src/store.rs
+++ b/system/control-plane/src/store.rs
@@ -66,7 +66,7 @@
         member_time: Duration::from_millis(400),
         install_time: Duration::from_secs(4),
         copies: settings.tolerated_machines + 1,
-        suspect_after: Duration::from_millis(700),
+        suspect_after: Duration::from_millis(500),
     }
 }
 
@@ -81,7 +81,7 @@
     let folder = settings.data_dir.as_ref().ok_or_else(missing)?;
     let address = internal_address(IpAddr::V4(settings.ip), settings.ephemeral_ports);
     let replica = disk::open::<Batch>(folder, &address.to_string(), None)?;
-    info!(identity = replica.identity(), view = replica.view().number, "store starts");
+    info!("store {:x} starts in view {}", replica.identity(), replica.view().number);
     let store = Arc::new(Store {
         chain: Chain::new(replica, StoreTransport::default(), options(settings)),
         address,
--- a/system/control-plane/src/store_views.rs
+++ b/system/control-plane/src/store_views.rs
@@ -15,7 +15,7 @@
 /// Pause between two looks at the stores.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// A store that has not reported for so long has failed.
-const SILENT: Duration = Duration::from_millis(1200);
+const SILENT: Duration = Duration::from_millis(900);
 /// The first view waits for so long after the first report, so that all stores can be in it.
 const FOUNDING_WAIT: Duration = Duration::from_millis(1500);
 /// Time for the operation that names a view.
@@ -71,8 +71,9 @@
         })
     }
 
-    /// The members that follow `current`, if they should be others. `wanted` is how many there should be.
-    fn next(&self, current: &View, wanted: usize, retired: impl Fn(&str) -> bool) -> Option<Vec<Member>> {
+    /// The members that follow `current`, if they should be others. `wanted` is how many there should be, and `copies` how
+    /// many must be there for anything to be taken.
+    fn next(&self, current: &View, wanted: usize, copies: usize, retired: impl Fn(&str) -> bool) -> Option<Vec<Member>> {
         let suspects: BTreeSet<SocketAddr> = current
             .members
             .iter()
@@ -91,13 +92,19 @@
         };
         let (mut members, waiting): (Vec<Member>, Vec<Member>) =
             current.members.iter().filter(|member| works(member)).cloned().partition(|m| complete(m));
-        let whole = waiting.is_empty();
         let lost = current.members.len() - members.len() - waiting.len();
         if current.number > 0 && members.is_empty() {
             // Nobody is left who holds everything; one may come back.
             return None;
         }
+        if lost > 0 && members.len() >= copies {
+            // Those who hold everything go on at once; others join them one after the other.
+            return Some(members);
+        }
+        let joined_before = members.len();
+        let whole = waiting.is_empty();
         members.extend(waiting);
+        let most = if joined_before >= copies { joined_before + 1 } else { wanted };
         if whole && members.len() < wanted {
             let mut zones: Vec<&str> =
                 members.iter().filter_map(|m| Some(&*self.report_of(m)?.zone)).collect();
@@ -106,7 +113,7 @@
                 .filter(|report| !retired(&report.node) && !current.contains(report.status.identity))
                 .collect();
             others.sort_by(|a, b| a.node.cmp(&b.node));
-            while members.len() < wanted && !others.is_empty() {
+            while members.len() < wanted.min(most) && !others.is_empty() {
                 let least = |report: &&StoreReport| zones.iter().filter(|zone| **zone == report.zone).count();
                 let place = (0..others.len()).min_by_key(|&place| least(&others[place])).unwrap_or(0);
                 let report = others.remove(place);
@@ -153,14 +160,14 @@
         if since.elapsed() < SILENT {
             continue;
         }
-        let next = views.next(&current, wanted, |node| retired.contains(node));
+        let next = views.next(&current, wanted, copies, |node| retired.contains(node));
         drop(views);
         let Some(members) = next else { continue };
         if current.number == 0 && members.len() < copies {
             continue;
         }
         let view = View { number: current.number + 1, members };
-        info!(view = view.number, members = view.members.len(), "names a view of the stores");
+        info!("names view {} of the stores: {}", view.number, view.addresses());
         if let Err(e) = coordinator.chain.submit(Operation::StoreView(view), DECIDE_TIME) {
             warn!("a view of the stores was not taken: {e}");
         }
--- a/system/control/src/lib.rs
+++ b/system/control/src/lib.rs
@@ -147,6 +147,13 @@
         }
     }
 
+    fn size_of(operation: &Operation) -> usize {
+        match operation {
+            Operation::Replace { body, .. } => body.0.len(),
+            _ => 0,
+        }
+    }
+
     fn snapshot(&self) -> Vec<u8> {
         encode(self)
     }
--- a/system/data-plane/src/state.rs
+++ b/system/data-plane/src/state.rs
@@ -64,7 +64,7 @@
             if update.sequence > known.versions.configuration {
                 match Configuration::parse(&update.body.0) {
                     Ok(configuration) => {
-                        info!(generation = configuration.generation, "a configuration is in force");
+                        info!("configuration {} is in force", configuration.generation);
                         known.configuration = Some(Arc::new(configuration));
                         known.versions.configuration = update.sequence;
                     }
