Let stores fetch the state before they join, free leases nobody knows of, take jobs up to the overage

Cause: each joiner blocked the chain while it got 5 MB, grants whose reply was lost stayed leased, and servers reset idle connections over their cap. Change: as the title says; two idle connections of 400 ms to a server.

--- a/system/batch/src/lease.rs
+++ b/system/batch/src/lease.rs
@@ -2,7 +2,7 @@
 //! the gateways tell what they run, and an item that nobody tells of is given out anew.
 
 use crate::Batch;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 /// Time that an item is taken to need, in milliseconds.
@@ -36,6 +36,9 @@
         now: Duration,
         term: Duration,
     ) -> Vec<ItemKey> {
+        // It tells all that it runs: what else it was granted it never learnt of, or has ended.
+        let kept: HashSet<&ItemKey> = running.iter().collect();
+        self.held.retain(|key, lease| lease.gateway != gateway || kept.contains(key));
         let mut lost = Vec::new();
         for key in running {
             let wanted = batch.job(&key.0).is_some_and(|job| job.is_open() && job.unlisted(key.1).is_some());
--- a/system/chain/src/replica.rs
+++ b/system/chain/src/replica.rs
@@ -329,6 +329,21 @@
         Received::Held
     }
 
+    /// Takes another process's state ahead of joining its chain. It counts for nothing until the member before this one has
+    /// confirmed or replaced it; a member takes none.
+    pub fn adopt(&mut self, state: &Install) -> io::Result<()> {
+        if self.view.contains(self.identity) {
+            return Ok(());
+        }
+        let unreadable = || io::Error::new(io::ErrorKind::InvalidData, "state");
+        self.machine = M::restore(&state.machine.0).ok_or_else(unreadable)?;
+        self.position = state.position;
+        self.complete = false;
+        self.recent.clear();
+        self.recent_bytes = 0;
+        self.start_segment()
+    }
+
     /// Keeps a vote on the next view.
     pub(crate) fn keep_vote(&mut self, vote: Vote) -> io::Result<()> {
         self.persist(&[Record::Vote(vote.clone())])?;
--- a/system/control-plane/src/coordinator.rs
+++ b/system/control-plane/src/coordinator.rs
@@ -166,9 +166,14 @@
         if !self.chain.is_head() || !self.fresh() {
             return CoordinatorReply::NotHead(self.chain.head_address());
         }
-        self.store_views.lock().unwrap_or_else(PoisonError::into_inner).note(report);
+        let fetch_from = {
+            let mut views = self.store_views.lock().unwrap_or_else(PoisonError::into_inner);
+            let address = report.address;
+            views.note(report);
+            views.source_for(address)
+        };
         let view = self.chain.read_settled(|control| control.store_view().clone()).unwrap_or_default();
-        CoordinatorReply::Stores(StoreDirective { view, coordinators: self.coordinators() })
+        CoordinatorReply::Stores(StoreDirective { view, fetch_from, coordinators: self.coordinators() })
     }
 
     fn newer(&self, pull: &Pull) -> Option<Updates> {
--- a/system/control-plane/src/store.rs
+++ b/system/control-plane/src/store.rs
@@ -19,7 +19,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tracing::info;
+use tracing::{info, warn};
 
 /// Time for an operation, and for a reading.
 const CHANGE_TIME: Duration = Duration::from_millis(2500);
@@ -34,6 +34,8 @@
 const PAGE_MOST: usize = 900_000;
 /// Pause between two reports to the coordinators.
 const REPORT_EVERY: Duration = Duration::from_millis(200);
+/// Time for fetching a whole state.
+const FETCH_TIME: Duration = Duration::from_secs(4);
 const REPORT_TIME: Duration = Duration::from_millis(500);
 /// Pause between two sweeps of what is to be forgotten.
 const FORGET_EVERY: Duration = Duration::from_secs(20);
@@ -104,6 +106,9 @@
             StoreRequest::Append(append) => StoreReply::Append(self.chain.handle_append(&append)),
             StoreRequest::Install(install) => StoreReply::Append(self.chain.handle_install(&install)),
             StoreRequest::Status => StoreReply::Status(self.chain.status()),
+            StoreRequest::Fetch => {
+                StoreReply::State(self.chain.with_replica(|replica| replica.install_message()))
+            }
             StoreRequest::Submit(job) => self.submit(job),
             StoreRequest::Read { job, start, wait_ms } => self.read(&job, start, wait_ms),
             StoreRequest::Body { job, item } => self.body(job, item),
@@ -242,6 +247,9 @@
                 Ok(CoordinatorReply::Stores(directive)) => {
                     head = Some(to);
                     self.chain.learn(&directive.view);
+                    if let Some(source) = directive.fetch_from {
+                        self.fetch(&caller, source);
+                    }
                     for coordinator in directive.coordinators {
                         if !coordinators.contains(&coordinator) {
                             coordinators.push(coordinator);
@@ -262,6 +270,21 @@
     }
 }
 
+impl Store {
+    /// Takes a member's whole state ahead of joining it, so that the chain does not wait for it then.
+    fn fetch(&self, caller: &Caller, source: SocketAddr) {
+        match caller.call(source, &StoreRequest::Fetch, FETCH_TIME) {
+            Ok(StoreReply::State(state)) => {
+                info!("fetched {} bytes from {source}", state.machine.0.len());
+                if let Err(e) = self.chain.with_replica(|replica| replica.adopt(&state)) {
+                    warn!("a state that was fetched could not be kept: {e}");
+                }
+            }
+            Ok(_) | Err(_) => warn!("no state could be fetched from {source}"),
+        }
+    }
+}
+
 impl Granting {
     /// Leases of another view are another head's.
     fn enter(&mut self, view: u64) {
--- a/system/control-plane/src/store_views.rs
+++ b/system/control-plane/src/store_views.rs
@@ -18,6 +18,8 @@
 const SILENT: Duration = Duration::from_millis(900);
 /// The first view waits for so long after the first report, so that all stores can be in it.
 const FOUNDING_WAIT: Duration = Duration::from_millis(1500);
+/// A store may join when it is at most so many entries behind.
+const BEHIND_MOST: u64 = 100;
 /// Time for the operation that names a view.
 const DECIDE_TIME: Duration = Duration::from_secs(2);
 
@@ -34,6 +36,8 @@
     first: Option<Instant>,
     /// Since when this process is the head, and so the one that stores report to.
     judges_since: Option<Instant>,
+    /// The store that is to join next, and the member whose state it fetches ahead.
+    joining: Option<(SocketAddr, SocketAddr)>,
 }
 
 impl StoreViews {
@@ -73,7 +77,13 @@
 
     /// The members that follow `current`, if they should be others. `wanted` is how many there should be, and `copies` how
     /// many must be there for anything to be taken.
-    fn next(&self, current: &View, wanted: usize, copies: usize, retired: impl Fn(&str) -> bool) -> Option<Vec<Member>> {
+    fn next(
+        &mut self,
+        current: &View,
+        wanted: usize,
+        copies: usize,
+        retired: impl Fn(&str) -> bool,
+    ) -> Option<Vec<Member>> {
         let suspects: BTreeSet<SocketAddr> = current
             .members
             .iter()
@@ -101,33 +111,72 @@
             // Those who hold everything go on at once; others join them one after the other.
             return Some(members);
         }
-        let joined_before = members.len();
+        let enough = members.len() >= copies;
         let whole = waiting.is_empty();
         members.extend(waiting);
-        let most = if joined_before >= copies { joined_before + 1 } else { wanted };
+        self.joining = None;
         if whole && members.len() < wanted {
-            let mut zones: Vec<&str> =
-                members.iter().filter_map(|m| Some(&*self.report_of(m)?.zone)).collect();
-            let mut others: Vec<&StoreReport> = self
-                .living()
-                .filter(|report| !retired(&report.node) && !current.contains(report.status.identity))
-                .collect();
-            others.sort_by(|a, b| a.node.cmp(&b.node));
-            while members.len() < wanted.min(most) && !others.is_empty() {
-                let least = |report: &&StoreReport| zones.iter().filter(|zone| **zone == report.zone).count();
-                let place = (0..others.len()).min_by_key(|&place| least(&others[place])).unwrap_or(0);
-                let report = others.remove(place);
-                zones.push(&report.zone);
-                members.push(Member {
-                    address: report.address,
-                    identity: report.status.identity,
-                    node: report.node.clone(),
-                });
+            if enough {
+                members.extend(self.prepared_joiner(current, &members, &retired));
+            } else {
+                while let Some(report) =
+                    self.best_joiner(current, &members, &retired).filter(|_| members.len() < wanted)
+                {
+                    members.push(member_of(report));
+                }
             }
         }
         let joined = members.iter().any(|member| !current.contains(member.identity));
         (lost > 0 || joined).then_some(members)
     }
+
+    /// The store that is to join next, in the zone that has the fewest members.
+    fn best_joiner(
+        &self,
+        current: &View,
+        members: &[Member],
+        retired: &impl Fn(&str) -> bool,
+    ) -> Option<&StoreReport> {
+        let zones: Vec<&str> =
+            members.iter().filter_map(|member| Some(&*self.report_of(member)?.zone)).collect();
+        let joins = |report: &&StoreReport| {
+            let member = members.iter().any(|member| member.identity == report.status.identity);
+            !member && !retired(&report.node) && !current.contains(report.status.identity)
+        };
+        let rank = |report: &&StoreReport| {
+            let in_zone = zones.iter().filter(|zone| **zone == report.zone).count();
+            (in_zone, report.node.clone())
+        };
+        self.living().filter(joins).min_by_key(rank)
+    }
+
+    /// The store that joins now: one that has fetched the state ahead. Where there is none yet, it is told to.
+    fn prepared_joiner(
+        &mut self,
+        current: &View,
+        members: &[Member],
+        retired: &impl Fn(&str) -> bool,
+    ) -> Option<Member> {
+        let tail = members.last()?;
+        let newest = self.report_of(tail)?.status.position.index;
+        let (source, joiner) = (tail.address, self.best_joiner(current, members, retired)?);
+        if joiner.status.position.index + BEHIND_MOST >= newest
+            && joiner.status.position.index <= newest + BEHIND_MOST
+        {
+            return Some(member_of(joiner));
+        }
+        self.joining = Some((joiner.address, source));
+        None
+    }
+
+    /// The member whose state a store is to fetch.
+    pub fn source_for(&self, store: SocketAddr) -> Option<SocketAddr> {
+        self.joining.filter(|joining| joining.0 == store).map(|joining| joining.1)
+    }
+}
+
+fn member_of(report: &StoreReport) -> Member {
+    Member { address: report.address, identity: report.status.identity, node: report.node.clone() }
 }
 
 /// Runs until the process ends.
--- a/system/data-plane/src/batch_api.rs
+++ b/system/data-plane/src/batch_api.rs
@@ -16,8 +16,9 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::task::spawn_blocking;
+use tracing::info;
 
 /// The most items of one job.
 const ITEMS_MOST: usize = 200;
@@ -150,6 +151,13 @@
     Ok(items)
 }
 
+/// Tokens that may wait on a route. The stores count an item until its result is recorded, which is later than its server
+/// finishes it, so that they may use all of the overage.
+fn most_queued(configured: u64, overage: f64) -> u64 {
+    // The conversion saturates.
+    (configured as f64 * (1.0 + overage)).floor() as u64
+}
+
 /// Takes a job.
 pub async fn submit(gateway: &Rc<Gateway>, route: &Arc<Route>, request: Whole) -> Response<AnswerBody> {
     if request.method != Method::POST {
@@ -167,11 +175,16 @@
         route: route.name.clone(),
         host: request.host().to_owned(),
         items,
-        max_queued_tokens: route.max_queued_tokens,
+        max_queued_tokens: most_queued(route.max_queued_tokens, gateway.settings.bounds.quota_overage),
         taken_at_ms: 0,
         due_after_ms: u64::try_from(route.completion_target.as_millis()).unwrap_or(u64::MAX),
     };
-    match call(gateway, StoreRequest::Submit(job), SUBMIT_TIME).await {
+    let (begun, trace) = (Instant::now(), job.id.clone());
+    let outcome = call(gateway, StoreRequest::Submit(job), SUBMIT_TIME).await;
+    if !matches!(&outcome, Outcome::Reply(reply) if **reply == StoreReply::Accepted) {
+        info!(id = %trace, "job {trace} was not taken after {} ms: {outcome:?}", begun.elapsed().as_millis());
+    }
+    match outcome {
         Outcome::Reply(reply) => match *reply {
             StoreReply::Accepted => own(StatusCode::ACCEPTED, "taken"),
             StoreReply::OverQuota => {
--- a/system/data-plane/src/upstream.rs
+++ b/system/data-plane/src/upstream.rs
@@ -20,7 +20,9 @@
 /// A connection that has just brought an answer is not used again for this long: some servers send an answer twice.
 const REST: Duration = Duration::from_millis(15);
 /// A connection that has stood idle for longer is not used: its server may be closing it.
-const IDLE_MOST: Duration = Duration::from_millis(1500);
+const IDLE_MOST: Duration = Duration::from_millis(400);
+/// Idle connections to one server. Servers reset what goes beyond their cap over all gateways.
+const IDLE_COUNT: usize = 2;
 /// Part of the time that a server says it keeps idle connections for which it is made use of.
 const KEPT_PART: f64 = 0.6;
 
@@ -93,9 +95,12 @@
             return;
         }
         let told = answer.get(KEEP_ALIVE).and_then(|value| value.to_str().ok()).and_then(timeout_of);
-        let kept = told.map_or(IDLE_MOST, |told| told.mul_f64(KEPT_PART).min(IDLE_MOST.mul_f64(4.0)));
+        let kept = told.map_or(IDLE_MOST, |told| told.mul_f64(KEPT_PART).min(IDLE_MOST));
         let mut idle = self.idle.borrow_mut();
         let here = idle.entry((server.id.clone(), server.address)).or_default();
+        if here.len() >= IDLE_COUNT {
+            here.remove(0);
+        }
         here.push(Idle { link, since: Instant::now(), kept });
     }
 
--- a/system/protocol/src/coordinator.rs
+++ b/system/protocol/src/coordinator.rs
@@ -88,6 +88,8 @@
 pub struct StoreDirective {
     /// The view of the stores' chain.
     pub view: View,
+    /// A member whose state the store is to fetch, as it is to join next.
+    pub fetch_from: Option<SocketAddr>,
     /// Where coordinators are called.
     pub coordinators: Vec<SocketAddr>,
 }
--- a/system/protocol/src/store.rs
+++ b/system/protocol/src/store.rs
@@ -13,6 +13,8 @@
     Install(Install),
     /// From anyone: what this process says of itself.
     Status,
+    /// From a store that is to join: the whole state.
+    Fetch,
     /// Take a job.
     Submit(NewJob),
     /// Results of a job from a position on.
@@ -29,6 +31,7 @@
 pub enum StoreReply {
     Append(AppendReply),
     Status(Status),
+    State(Install),
     /// A job was taken.
     Accepted,
     /// A job does not fit; none of it runs.
