--- a/system/data-plane/src/batch_runner.rs
+++ b/system/data-plane/src/batch_runner.rs
@@ -38,6 +38,8 @@
 const ASK_TIME: Duration = Duration::from_millis(2500);
 /// An item goes to a server that is taken no further than this.
 const LOAD_MOST: f64 = 0.88;
+/// Items that are granted together begin so far apart: their prompts are read in turn, and streams pause less.
+const BEGIN_APART: Duration = Duration::from_millis(12);
 /// Pause where no server has room.
 const ROOM_PAUSE: Duration = Duration::from_millis(40);
 /// Pause after an attempt that failed.
@@ -119,8 +121,8 @@
                 running.task.abort();
             }
         }
-        for granted in reply.granted {
-            self.begin(gateway, granted);
+        for (place, granted) in (0..).zip(reply.granted) {
+            self.begin(gateway, granted, BEGIN_APART * place);
         }
     }
 
@@ -130,13 +132,14 @@
         kept.splice(0..0, finished);
     }
 
-    fn begin(self: &Rc<Runner>, gateway: &Rc<Gateway>, granted: GrantedItem) {
+    fn begin(self: &Rc<Runner>, gateway: &Rc<Gateway>, granted: GrantedItem, after: Duration) {
         let name = granted.name.clone();
         if self.running.borrow().contains_key(&name) {
             return;
         }
         let (runner, gateway, key) = (self.clone(), gateway.clone(), name.clone());
         let task = spawn_local(async move {
+            sleep(after).await;
             let outcome = ItemRun::new(gateway, granted).run().await;
             runner.running.borrow_mut().remove(&key);
             runner.finished.borrow_mut().push(FinishedItem { name: key, outcome });
@@ -254,7 +257,7 @@
     async fn attempt(&mut self, server: &Server) -> Attempt {
         let gateway = self.gateway.clone();
         let Some(order) = self.order() else { return Attempt::Impossible };
-        gateway.fleet.borrow_mut().sent(&server.id);
+        gateway.fleet.borrow_mut().sent(&server.id, self.prompt.tokens_in, gateway.now());
         let _placed = Placed(&gateway, server);
         let usable = || gateway.fleet.borrow().usable(&server.id);
         let sent = timeout(SILENCE_MOST, gateway.pool.send(server, &order, usable)).await;
--- a/system/data-plane/src/live.rs
+++ b/system/data-plane/src/live.rs
@@ -73,8 +73,8 @@
 }
 
 impl Placed {
-    fn new(gateway: &Rc<Gateway>, server: Server) -> Placed {
-        gateway.fleet.borrow_mut().sent(&server.id);
+    fn new(gateway: &Rc<Gateway>, server: Server, prompt: &Prompt) -> Placed {
+        gateway.fleet.borrow_mut().sent(&server.id, prompt.tokens_in, gateway.now());
         gateway.live.enter();
         Placed { gateway: gateway.clone(), server }
     }
@@ -213,7 +213,7 @@
         if let Some(last) = resume_after {
             headers.insert(LAST_EVENT_ID, HeaderValue::from(last));
         }
-        let placed = Placed::new(&self.gateway, server);
+        let placed = Placed::new(&self.gateway, server, &self.prompt);
         let patience = if self.may_resume_elsewhere() { SILENCE_MOST.min(left) } else { left };
         let usable = || self.gateway.fleet.borrow().usable(&placed.server.id);
         let sending = self.gateway.pool.send(&placed.server, &self.order, usable);
--- a/system/routing/src/placement.rs
+++ b/system/routing/src/placement.rs
@@ -22,6 +22,10 @@
 const OTHER_ZONE: f64 = 0.10;
 /// ... and one that has probably not kept the shared parts.
 const NOT_KEPT: f64 = 0.08;
+/// Tokens of prompts that a server is taken to read in a second, while it does nothing else.
+const READ_PER_S: f64 = 60_000.0;
+/// So many tokens to read make a server as dear as if all its slots were taken: streams there pause while it reads.
+const READING_SCALE: f64 = 12_000.0;
 /// Servers that a prompt's shared parts are spread over.
 const KEEPERS: usize = 3;
 
@@ -48,6 +52,9 @@
     pub server: Server,
     /// Requests of this gateway that it has.
     pub out: u32,
+    /// Tokens of prompts that this gateway sent and that it has probably not read yet, as of `reading_at`.
+    reading: f64,
+    reading_at: Now,
     /// What others have there, when it was told.
     others: f64,
     told_at: Option<Now>,
@@ -89,6 +96,12 @@
         f64::from(self.out) + others
     }
 
+    /// Tokens of prompts that it has probably not read yet.
+    fn still_reading(&self, now: Now) -> f64 {
+        let read = now.saturating_sub(self.reading_at).as_secs_f64() * READ_PER_S;
+        (self.reading - read).max(0.0)
+    }
+
     fn share(&self, now: Now) -> f64 {
         self.load(now) / f64::from(self.server.slots.max(1))
     }
@@ -109,6 +122,8 @@
             let fresh = || Known {
                 server: server.clone(),
                 out: 0,
+                reading: 0.0,
+                reading_at: Now::ZERO,
                 others: 0.0,
                 told_at: None,
                 waiting: false,
@@ -148,7 +163,8 @@
             let avoided = if known.avoid_until > now { 100.0 } else { 0.0 };
             // Far below one request: only equal servers take turns by it.
             let jitter = (mix(turn ^ hash(known.server.id.as_bytes())) >> 40) as f64 * 1e-10;
-            share + zone + kept + avoided + jitter
+            let reading = known.still_reading(now) / READING_SCALE;
+            share + zone + kept + avoided + reading + jitter
         };
         let best = usable
             .filter(|known| known.share(now) <= wish.load_most)
@@ -170,10 +186,12 @@
         ranked.into_iter().take(KEEPERS).map(|(_, id)| id.to_owned()).collect()
     }
 
-    /// A request goes to a server.
-    pub fn sent(&mut self, id: &str) {
+    /// A request with a prompt of so many tokens goes to a server.
+    pub fn sent(&mut self, id: &str, tokens: u32, now: Now) {
         if let Some(known) = self.known.get_mut(id) {
             known.out += 1;
+            known.reading = known.still_reading(now) + f64::from(tokens);
+            known.reading_at = now;
         }
     }
 
