--- a/system/routing/src/placement.rs
+++ b/system/routing/src/placement.rs
@@ -19,13 +19,13 @@
 /// A server that said that it is full is left alone for so long.
 const FULL_FOR: Duration = Duration::from_millis(60);
 /// Load, as a share of a server's slots, that a server of another zone is taken to have on top.
-const OTHER_ZONE: f64 = 0.10;
+const OTHER_ZONE: f64 = 0.15;
 /// ... and one that has probably not kept the shared parts.
 const NOT_KEPT: f64 = 0.08;
 /// Tokens of prompts that a server is taken to read in a second, while it does nothing else.
 const READ_PER_S: f64 = 60_000.0;
 /// So many tokens to read make a server as dear as if all its slots were taken: streams there pause while it reads.
-const READING_SCALE: f64 = 12_000.0;
+const READING_SCALE: f64 = 8_000.0;
 /// Servers that a prompt's shared parts are spread over.
 const KEEPERS: usize = 3;
 
