--- a/system/chain/src/chain.rs
+++ b/system/chain/src/chain.rs
@@ -13,7 +13,7 @@
 use quick_error::quick_error;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::mpsc::{sync_channel, SyncSender};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tracing::{info, warn};
@@ -255,6 +255,15 @@
     /// Has operations carried out, in order, and acknowledged by the whole chain.
     pub fn submit_all(&self, operations: Vec<M::Operation>, within: Duration) -> Answer<Vec<M::Output>> {
         let until = Instant::now() + within;
+        let wait = |answered: Receiver<Answer<M::Output>>| {
+            let left = until.saturating_duration_since(Instant::now());
+            answered.recv_timeout(left).unwrap_or(Err(Refused::Unknown))
+        };
+        self.begin_all(operations)?.into_iter().map(wait).collect()
+    }
+
+    /// Has operations carried out in one of the next rounds, and does not wait for it.
+    pub fn begin_all(&self, operations: Vec<M::Operation>) -> Answer<Vec<Receiver<Answer<M::Output>>>> {
         let mut answers = Vec::new();
         let mut pending = Vec::new();
         for operation in operations {
@@ -263,11 +272,7 @@
             answers.push(answered);
         }
         self.enqueue(pending)?;
-        let wait = |answered: std::sync::mpsc::Receiver<Answer<M::Output>>| {
-            let left = until.saturating_duration_since(Instant::now());
-            answered.recv_timeout(left).unwrap_or(Err(Refused::Unknown))
-        };
-        answers.into_iter().map(wait).collect()
+        Ok(answers)
     }
 
     /// Reads the state that the whole chain holds; confirms that this member is the head and no newer state exists.
@@ -276,10 +281,18 @@
         f: impl FnOnce(&M) -> R + Send + 'static,
         within: Duration,
     ) -> Answer<R> {
+        self.begin_read(f)?.recv_timeout(within).unwrap_or(Err(Refused::Unknown))
+    }
+
+    /// Reads the state in one of the next rounds, and does not wait for it.
+    pub fn begin_read<R: Send + 'static>(
+        &self,
+        f: impl FnOnce(&M) -> R + Send + 'static,
+    ) -> Answer<Receiver<Answer<R>>> {
         let (answer, answered) = sync_channel(1);
         let call = move |state: Answer<&M>| drop(answer.try_send(state.map(f)));
         self.enqueue(vec![Pending::Read(Box::new(call))])?;
-        answered.recv_timeout(within).unwrap_or(Err(Refused::Unknown))
+        Ok(answered)
     }
 
     fn enqueue(&self, pending: Vec<Pending<M>>) -> Result<(), Refused> {
@@ -321,17 +334,22 @@
         loop {
             let pending = self.take_pending();
             if self.is_head() {
-                self.round(pending);
+                self.round(pending, true);
             } else {
                 self.refuse(pending, &Refused::NotHead(self.head_address()));
             }
         }
     }
 
-    /// Runs one round of the head's without waiting for work; for tests, and for callers with a clock of their own.
+    /// Runs one round of the head's without waiting for work, and passes it down the chain once; for callers with a clock of
+    /// their own.
     pub fn run_round(&self) {
         let pending = Self::take_round(&mut lock(&self.queue));
-        self.round(pending);
+        if self.is_head() {
+            self.round(pending, false);
+        } else {
+            self.refuse(pending, &Refused::NotHead(self.head_address()));
+        }
     }
 
     fn refuse(&self, pending: Vec<Pending<M>>, why: &Refused) {
@@ -344,7 +362,7 @@
         }
     }
 
-    fn round(&self, pending: Vec<Pending<M>>) {
+    fn round(&self, pending: Vec<Pending<M>>, insist: bool) {
         let mut operations = Vec::new();
         let mut answers = Vec::new();
         let mut reads = Vec::new();
@@ -369,7 +387,7 @@
                 return;
             }
         };
-        let through = self.pass_round(!outputs.is_empty());
+        let through = self.pass_round(insist && !outputs.is_empty());
         for (answer, output) in answers.iter().zip(outputs) {
             drop(answer.try_send(if through { Ok(output) } else { Err(Refused::Unknown) }));
         }
