Let a head acknowledge only what it passed on as the head

Change: what is passed on counts only as the part for which it was ordered, and while the state was not replaced; reads likewise. Tests: chain/tests.rs.

--- a/gateway/src/console.rs
+++ b/gateway/src/console.rs
@@ -113,7 +113,7 @@
         let caller = Rc::new(Caller::default());
         let Ok(socket) = Socket::new(stream, caller.clone()) else { return };
         let service = service_fn(|request| {
-            let (console, framing) = (self.clone(), caller.heads.borrow_mut().next());
+            let (console, framing) = (self.clone(), caller.heads.borrow_mut().take_next());
             async move { Ok::<_, Infallible>(console.answer(request, framing).await) }
         });
         let connection = http1::Builder::new()
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -356,7 +356,7 @@
             async move {
                 client.asked.set(true);
                 client.phase.set(Phase::Open);
-                let framing = client.heads.borrow_mut().next().unwrap_or(Framing::Ambiguous);
+                let framing = client.heads.borrow_mut().take_next().unwrap_or(Framing::Ambiguous);
                 let responding = front.respond(request, framing, &socket);
                 let answered = AssertUnwindSafe(responding).catch_unwind().await;
                 // The panic's own line is on standard error.
--- a/system/chain/src/chain.rs
+++ b/system/chain/src/chain.rs
@@ -87,6 +87,16 @@
     View,
 }
 
+/// What a member passes its state on as. A view that was learnt meanwhile may have taken the part away, and then nothing that
+/// is passed on counts.
+#[derive(Clone, Copy)]
+enum Part {
+    /// The head, with a state that was replaced so many times.
+    Head { replaced: u64 },
+    /// A member of the view of this number.
+    Member { view: u64 },
+}
+
 /// What is told of the chain without waiting for a disk.
 #[derive(Default)]
 struct Observed {
@@ -377,8 +387,8 @@
                 Pending::Read(call) => reads.push(call),
             }
         }
-        let outputs = match self.order(&operations) {
-            Ok(outputs) => outputs,
+        let (outputs, replaced) = match self.order(&operations) {
+            Ok(ordered) => ordered,
             Err(e) => {
                 warn!("the disk refused an entry: {e}");
                 let unknown = answers.into_iter().zip(operations);
@@ -387,35 +397,39 @@
                 return;
             }
         };
-        let through = self.pass_round(insist && !outputs.is_empty());
+        let through = self.pass_round(insist && !outputs.is_empty(), replaced);
         for (answer, output) in answers.iter().zip(outputs) {
             drop(answer.try_send(if through { Ok(output) } else { Err(Refused::Unknown) }));
         }
         if through && !reads.is_empty() {
             let replica = lock(&self.replica);
-            reads.into_iter().for_each(|call| call(Ok(replica.machine())));
+            let stands = replica.is_head() && replica.replaced() == replaced;
+            let state = || if stands { Ok(replica.machine()) } else { Err(Refused::Unknown) };
+            reads.into_iter().for_each(|call| call(state()));
         } else {
             reads.into_iter().for_each(|call| call(Err(Refused::Unknown)));
         }
     }
 
-    fn order(&self, operations: &Vec<M::Operation>) -> std::io::Result<Vec<M::Output>> {
-        if operations.is_empty() {
-            return Ok(Vec::new());
-        }
-        self.with_replica(|replica| replica.propose(operations))
+    /// Orders operations, and tells how often the state had been replaced by then.
+    fn order(&self, operations: &Vec<M::Operation>) -> std::io::Result<(Vec<M::Output>, u64)> {
+        self.with_replica(|replica| {
+            let outputs = if operations.is_empty() { Vec::new() } else { replica.propose(operations)? };
+            Ok((outputs, replica.replaced()))
+        })
     }
 
     /// Passes the head's state down the chain; an entry again and again until it is held or the view has changed so that this
     /// member is not the head.
-    fn pass_round(&self, insist: bool) -> bool {
+    fn pass_round(&self, insist: bool, replaced: u64) -> bool {
         loop {
             let healthy = lock(&self.observed).failing.is_none();
-            match self.pass_on(healthy) {
+            match self.pass_on(healthy, Part::Head { replaced }) {
                 Ok(()) => return true,
                 Err(failure) => self.note_failure(&failure),
             }
-            if !insist || !self.is_head() {
+            let replaced_since = lock(&self.replica).replaced() != replaced;
+            if !insist || !self.is_head() || replaced_since {
                 return false;
             }
             std::thread::sleep(RETRY_PAUSE);
@@ -432,10 +446,17 @@
     }
 
     /// Brings the members that follow to this member's position, and settles it.
-    fn pass_on(&self, healthy: bool) -> Result<(), Failure> {
+    fn pass_on(&self, healthy: bool, part: Part) -> Result<(), Failure> {
         let _passing = lock(&self.passing);
         for _ in 0..ATTEMPTS {
             let mut replica = lock(&self.replica);
+            let plays = match part {
+                Part::Head { replaced } => replica.is_head() && replica.replaced() == replaced,
+                Part::Member { view } => replica.complete() && replica.view().number == view,
+            };
+            if !plays || !replica.view().contains(replica.identity()) {
+                return Err(Failure::View);
+            }
             let position = replica.position();
             let Some((successor, left)) = replica.successor().map(|(member, left)| (member.clone(), left))
             else {
@@ -462,11 +483,16 @@
             let within = self.options.member_time * u32::try_from(left + 1).unwrap_or(u32::MAX);
             let reply = self.transport.append(&successor, &append, within);
             if self.judge(&successor, reply, position)? {
-                self.with_replica(|replica| {
-                    if replica.view().number == append.view.number {
+                let stands = self.with_replica(|replica| {
+                    let stands = replica.view().number == append.view.number;
+                    if stands {
                         replica.settle(position);
                     }
+                    stands
                 });
+                if !stands {
+                    continue;
+                }
                 self.note_healthy(healthy);
                 return Ok(());
             }
@@ -535,7 +561,7 @@
                 self.changed.notify_all();
             }
         }
-        match self.pass_on(append.healthy) {
+        match self.pass_on(append.healthy, Part::Member { view: append.view.number }) {
             Ok(()) => AppendReply::Held,
             Err(Failure::At(address)) => AppendReply::Failed(address),
             Err(Failure::View) => AppendReply::Stale(lock(&self.observed).status.view.clone()),
@@ -562,3 +588,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/system/chain/src/replica.rs
+++ b/system/chain/src/replica.rs
@@ -92,6 +92,8 @@
     storage: S,
     recent: VecDeque<Recent>,
     recent_bytes: usize,
+    /// Times that the state was replaced by another's: what was ordered before may be gone.
+    replaced: u64,
     /// The view in which the member before this one has brought it to its own state. From then on positions only grow.
     followed: u64,
 }
@@ -118,6 +120,7 @@
             storage,
             recent: VecDeque::new(),
             recent_bytes: 0,
+            replaced: 0,
             followed: 0,
         };
         if let Some(snapshot) = recovered.snapshot {
@@ -174,6 +177,11 @@
         self.complete && self.view.head().is_some_and(|head| head.identity == self.identity)
     }
 
+    /// Times that the state was replaced by another's.
+    pub fn replaced(&self) -> u64 {
+        self.replaced
+    }
+
     pub fn successor(&self) -> Option<(&Member, usize)> {
         self.view.successor_of(self.identity)
     }
@@ -335,6 +343,7 @@
             return Received::Storage(e);
         }
         self.followed = self.view.number;
+        self.replaced += 1;
         Received::Held
     }
 
@@ -348,6 +357,7 @@
         self.machine = M::restore(&state.machine.0).ok_or_else(unreadable)?;
         self.position = state.position;
         self.complete = false;
+        self.replaced += 1;
         self.recent.clear();
         self.recent_bytes = 0;
         self.start_segment()
--- a/transport/src/framing.rs
+++ b/transport/src/framing.rs
@@ -57,7 +57,7 @@
 
 impl Heads {
     /// What the next head said, in the order in which they came.
-    pub fn next(&mut self) -> Option<Framing> {
+    pub fn take_next(&mut self) -> Option<Framing> {
         self.found.pop_front()
     }
 
--- a/transport/src/framing/tests.rs
+++ b/transport/src/framing/tests.rs
@@ -4,7 +4,7 @@
 fn read(text: &str, piece: usize) -> Vec<Framing> {
     let mut heads = Heads::default();
     text.as_bytes().chunks(piece).for_each(|bytes| heads.read(bytes));
-    std::iter::from_fn(|| heads.next()).collect()
+    std::iter::from_fn(|| heads.take_next()).collect()
 }
 
 #[test]
