--- a/system/configuration/src/document.rs
+++ b/system/configuration/src/document.rs
@@ -1,5 +1,8 @@
 //! The configuration as the operator writes it, in JSON.
 
+// What `nanoserde` derives holds this shape.
+#![allow(clippy::question_mark)]
+
 use crate::{syntax, ClientLimits, Configuration, Invalid, Route, RouteType, Service};
 use nanoserde::DeJson;
 use std::time::Duration;
--- a/system/data-plane/src/batch_api.rs
+++ b/system/data-plane/src/batch_api.rs
@@ -1,5 +1,8 @@
 //! The batch interface: jobs are submitted, read and ended through any gateway; the stores keep them.
 
+// What `nanoserde` derives holds this shape.
+#![allow(clippy::question_mark)]
+
 use crate::body::{whole, AnswerBody};
 use crate::front::{own, refusal, Whole};
 use crate::gateway::Gateway;
--- a/system/protocol/src/servers.rs
+++ b/system/protocol/src/servers.rs
@@ -1,5 +1,8 @@
 //! The list of model servers: as the platform tells it, and as coordinators pass it on.
 
+// What `nanoserde` derives holds this shape.
+#![allow(clippy::question_mark)]
+
 use musli::{Decode, Encode};
 use nanoserde::DeJson;
 use std::net::SocketAddr;
