--- /dev/null
+++ b/system/batch/tests/batch.rs
@@ -0,0 +1,106 @@
+//! Jobs as transcripts, and the sum of waiting tokens under any history.
+
+use marblecroft_batch::lease::Leases;
+use marblecroft_batch::{Batch, Item, ItemOutcome, NewJob, Operation, Output};
+use marblecroft_chain::StateMachine;
+use marblecroft_wire::Bytes;
+use std::time::Duration;
+
+fn job(id: &str, tokens: &[u64], most: u64) -> NewJob {
+    let item = |(index, &tokens): (usize, &u64)| Item {
+        id: format!("{id}-{index}"),
+        path: "/p/".to_owned(),
+        headers: Vec::new(),
+        body: Bytes(vec![index as u8]),
+        tokens,
+    };
+    NewJob {
+        id: id.to_owned(),
+        route: "r".to_owned(),
+        host: "h".to_owned(),
+        items: tokens.iter().enumerate().map(item).collect(),
+        max_queued_tokens: most,
+        taken_at_ms: 1000,
+        due_after_ms: 8000,
+    }
+}
+
+fn record(job: &str, item: u32, text: &str) -> Operation {
+    Operation::Record { job: job.to_owned(), item, outcome: ItemOutcome::Completed(text.to_owned()) }
+}
+
+#[test]
+fn a_transcript_of_two_jobs() {
+    let mut batch = Batch::default();
+    let end = |job: &str| Operation::End { job: job.to_owned() };
+    let transcript = [
+        (Operation::Submit(job("a", &[40, 60], 150)), Output::Accepted, 100),
+        (Operation::Submit(job("a", &[40, 60], 150)), Output::Accepted, 100),
+        (Operation::Submit(job("b", &[60], 150)), Output::OverQuota, 100),
+        (record("a", 1, "second"), Output::Done, 40),
+        (record("a", 1, "again"), Output::Done, 40),
+        (Operation::Submit(job("b", &[60], 150)), Output::Accepted, 100),
+        (end("b"), Output::Done, 40),
+        (end("b"), Output::Done, 40),
+        (record("b", 0, "late"), Output::Done, 40),
+        (record("a", 0, "first"), Output::Done, 0),
+        (record("c", 0, "none"), Output::Unknown, 0),
+        (end("c"), Output::Unknown, 0),
+    ];
+    for (operation, expected, waiting) in transcript {
+        assert_eq!(batch.apply(operation.clone()), expected, "{operation:?}");
+        assert_eq!(batch.waiting_tokens("r"), waiting, "{operation:?}");
+    }
+    let results = batch.job("a").expect("kept").results();
+    let texts: Vec<_> = results.iter().map(|result| (result.item, result.outcome.clone())).collect();
+    let completed = |text: &str| ItemOutcome::Completed(text.to_owned());
+    assert_eq!(texts, [(1, completed("second")), (0, completed("first"))]);
+    assert_eq!(Batch::restore(&batch.snapshot()), Some(batch));
+}
+
+#[test]
+fn the_sum_is_that_of_the_items_that_wait_and_never_above_the_limit() {
+    arbtest::arbtest(|u| {
+        let mut batch = Batch::default();
+        let most = 500;
+        while !u.is_empty() {
+            let name = u.choose(&["a", "b", "c", "d"])?;
+            let operation = match u.int_in_range(0..=3)? {
+                0 => {
+                    Operation::Submit(job(name, &[u.int_in_range(0..=200)?, u.int_in_range(0..=200)?], most))
+                }
+                1 | 2 => record(name, u.int_in_range(0..=2)?, "x"),
+                _ => Operation::End { job: (*name).to_owned() },
+            };
+            let before: Vec<_> = batch.jobs().map(|(id, job)| (id.clone(), job.results().to_vec())).collect();
+            batch.apply(operation);
+            for (id, results) in before {
+                assert!(batch.job(&id).expect("kept").results().starts_with(&results), "a position changed");
+            }
+            let waits =
+                batch.open_jobs().flat_map(|(_, job)| job.unlisted_items().map(move |i| job.unlisted(i)));
+            let sum: u64 = waits.flatten().map(|item| item.tokens).sum();
+            assert_eq!(batch.waiting_tokens("r"), sum);
+            assert!(sum <= most);
+        }
+        Ok(())
+    })
+    .budget_ms(700);
+}
+
+#[test]
+fn an_item_is_one_gateways_until_its_lease_ends_or_it_is_not_told_any_more() {
+    let mut batch = Batch::default();
+    batch.apply(Operation::Submit(job("a", &[1, 1, 1], 0)));
+    let (mut leases, term) = (Leases::default(), Duration::from_secs(1));
+    let at = Duration::from_secs;
+    let first = leases.grant(&batch, "x", 2, at(0), 1000, term);
+    assert_eq!(first, [("a".to_owned(), 0), ("a".to_owned(), 1)]);
+    assert_eq!(leases.grant(&batch, "y", 9, at(0), 1000, term), [("a".to_owned(), 2)]);
+    assert_eq!(leases.renew(&batch, "y", first.clone(), at(0), term), first, "they are another's");
+    assert!(leases.renew(&batch, "x", first[..1].to_vec(), at(0), term).is_empty());
+    assert_eq!(leases.grant(&batch, "y", 9, at(0), 1000, term).len(), 2, "what x does not tell is free");
+    batch.apply(record("a", 0, "done"));
+    assert_eq!(leases.renew(&batch, "x", first[..1].to_vec(), at(0), term), first[..1]);
+    assert_eq!(leases.grant(&batch, "z", 9, at(2), 1000, term).len(), 2, "leases have ended");
+}
