--- /dev/null
+++ b/system/control-plane/tests/operator.rs
@@ -0,0 +1,160 @@
+//! The operator's API as a transcript, against a real coordinator on the loopback interface; what was acknowledged is there
+//! after the process was killed.
+
+use std::fs;
+use std::net::Ipv4Addr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+/// A coordinator starts, and forms its chain of one, in this time.
+const STARTS_WITHIN: Duration = Duration::from_secs(20);
+const CALL_TIME: Duration = Duration::from_secs(5);
+
+/// One coordinator with a folder and an address of its own.
+struct Coordinator {
+    folder: PathBuf,
+    ip: Ipv4Addr,
+    process: Option<Child>,
+}
+
+impl Coordinator {
+    fn new(name: &str, number: u8) -> Coordinator {
+        // Every test process has loopback addresses of its own.
+        let [_, _, high, low] = std::process::id().to_be_bytes();
+        let ip = Ipv4Addr::new(127, high.max(1), low, number);
+        let folder = std::env::temp_dir().join(format!("marblecroft-{name}-{}", std::process::id()));
+        drop(fs::remove_dir_all(&folder));
+        fs::create_dir_all(&folder).expect("a folder");
+        Coordinator { folder, ip, process: None }
+    }
+
+    fn settings(&self, bootstrap: bool) -> String {
+        let (ip, folder) = (self.ip, self.folder.join("data").display().to_string());
+        format!(
+            "node_name=edge-a-1\nip={ip}\nzone=a\nzones.a=r\nbind_addresses.control_plane={ip}:8166\n\
+             ephemeral_ports=7720,7735\nseeds={ip}:8166\nbootstrap={bootstrap}\ndata_dir={folder}\n\
+             fault_tolerance.machines=0\n"
+        )
+    }
+
+    fn command(&self, role: &str, settings: &str) -> Command {
+        let path = self.folder.join("boot.conf");
+        fs::write(&path, settings).expect("written");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_marblecroft-control"));
+        command.arg(role).env("MARBLECROFT_CONFIG", path).stdout(Stdio::null()).stderr(Stdio::null());
+        command
+    }
+
+    fn start(&mut self, bootstrap: bool) {
+        let settings = self.settings(bootstrap);
+        self.process = Some(self.command("coordinator", &settings).spawn().expect("starts"));
+    }
+
+    fn kill(&mut self) {
+        if let Some(mut process) = self.process.take() {
+            process.kill().expect("killed");
+            process.wait().expect("ended");
+        }
+    }
+
+    /// Status and body of a call; `None` where nobody answers.
+    fn call(&self, method: &str, path: &str, base: Option<&str>, body: &str) -> Option<(u16, String)> {
+        let config =
+            ureq::Agent::config_builder().http_status_as_error(false).timeout_global(Some(CALL_TIME));
+        let agent: ureq::Agent = config.build().into();
+        let url = format!("http://{}:8166{path}", self.ip);
+        let sent = if method == "GET" {
+            agent.get(url).call()
+        } else {
+            let post = agent.post(url);
+            let post = base.into_iter().fold(post, |post, base| post.header("X-Base-Version", base));
+            post.send(body)
+        };
+        let mut response = sent.ok()?;
+        let text = response.body_mut().read_to_string().ok()?;
+        Some((response.status().as_u16(), text))
+    }
+
+    /// Reads the configuration as soon as a coordinator can say.
+    fn read_when_up(&self) -> (u16, String) {
+        let until = Instant::now() + STARTS_WITHIN;
+        loop {
+            let answer = self.call("GET", "/-/Config.Read", None, "");
+            if let Some(answer) = answer.filter(|answer| answer.0 < 500) {
+                return answer;
+            }
+            assert!(Instant::now() < until, "no coordinator answers");
+            std::thread::yield_now();
+        }
+    }
+}
+
+impl Drop for Coordinator {
+    fn drop(&mut self) {
+        self.kill();
+        drop(fs::remove_dir_all(&self.folder));
+    }
+}
+
+fn configuration(generation: u64, timeout_ms: u64) -> String {
+    format!(
+        "{{\"generation\":{generation},\"routes\":[{{\"name\":\"a\",\"hostname\":\"x.example\",\"path_prefix\":\"/p/\",\
+         \"route_type\":\"streaming\",\"timeout_ms\":{timeout_ms},\"backend\":\"s\",\"attempts\":1}}],\
+         \"services\":[{{\"name\":\"s\"}}],\"limits\":{{}}}}"
+    )
+}
+
+#[test]
+fn the_operators_transcript_and_what_is_left_after_a_kill() {
+    let mut coordinator = Coordinator::new("operator", 1);
+    coordinator.start(true);
+    assert_eq!(coordinator.read_when_up(), (404, "there is no configuration yet\n".to_owned()));
+    let replace = "/-/Config.Replace";
+    let (first, second) = (configuration(3, 2000), configuration(7, 1000));
+    let no_timeout = configuration(8, 0);
+    let not_whole = &second[..second.len() - 9];
+    let transcript = [
+        ("POST", replace, None, first.as_str(), 400, "X-Base-Version is missing\n"),
+        ("POST", replace, Some("x"), &first, 400, "X-Base-Version: expected a whole number\n"),
+        ("POST", replace, Some("0"), &first, 200, ""),
+        ("POST", replace, Some("0"), &first, 200, ""),
+        ("POST", replace, Some("0"), &second, 412, "version 3 is current\n"),
+        ("POST", replace, Some("3"), &second, 200, ""),
+        ("POST", replace, Some("0"), &first, 200, ""),
+        ("POST", replace, Some("7"), &configuration(7, 5), 400, "generation 7 is not higher than 7\n"),
+        ("POST", replace, Some("7"), &no_timeout, 400, "route a: timeout_ms is 0\n"),
+        ("POST", replace, Some("7"), not_whole, 400, "not a configuration: not one whole JSON value\n"),
+        ("GET", "/-/Config.Read", None, "", 200, &second),
+        ("GET", replace, None, "", 405, "not with this method\n"),
+        ("GET", "/-/nothing", None, "", 404, "no such call\n"),
+        ("POST", "/-/Retire.Start/storage-a-1", None, "{}", 404, "no store machine of this name is known\n"),
+        ("GET", "/-/Retire.Read/storage-a-1", None, "", 404, "this machine is not being emptied\n"),
+    ];
+    for (method, path, base, body, status, text) in transcript {
+        let answer = coordinator.call(method, path, base, body).expect("answered");
+        assert_eq!(answer, (status, text.to_owned()), "{method} {path} {base:?} {body}");
+    }
+    coordinator.kill();
+    coordinator.start(false);
+    assert_eq!(coordinator.read_when_up(), (200, second.clone()));
+    let again = coordinator.call("POST", replace, Some("3"), &second).expect("answered");
+    assert_eq!(again, (200, String::new()), "what was taken is acknowledged again");
+}
+
+#[test]
+fn settings_that_cannot_be_used_are_refused_in_one_line_with_exit_code_2() {
+    let coordinator = Coordinator::new("settings", 2);
+    let run = |settings: &str| -> Output {
+        let mut command = coordinator.command("check", settings);
+        command.stdout(Stdio::piped()).stderr(Stdio::piped()).output().expect("ran")
+    };
+    let good = run(&coordinator.settings(true));
+    assert_eq!(
+        (good.status.code(), good.stdout.as_slice()),
+        (Some(0), &b"edge-a-1: the settings can be used\n"[..])
+    );
+    let bad = run(&coordinator.settings(true).replace("zone=a", "zone="));
+    assert_eq!(bad.status.code(), Some(2));
+    assert_eq!(String::from_utf8_lossy(&bad.stderr), "marblecroft-control: zone is missing\n");
+}
