Draw identities apart from the founders', and find a founder's own by its own address

Cause: the comment promised that no drawn identity can be a founder's, and the draw did not keep it; a fallback identity was left over. Change: drawn identities have the top bit set; the fallback is gone.

--- a/system/control-plane/src/coordinator.rs
+++ b/system/control-plane/src/coordinator.rs
@@ -56,9 +56,9 @@
 }
 
 /// The first view, where this process is one of those that begin it.
-fn founding_view(settings: &Settings, address: SocketAddr) -> Option<(u64, View)> {
-    let founds =
-        settings.bootstrap && settings.bind.control_plane.is_some_and(|own| settings.seeds.contains(&own));
+fn founding_view(settings: &Settings) -> Option<(u64, View)> {
+    let own = settings.bind.control_plane?;
+    let founds = settings.bootstrap && settings.seeds.contains(&own);
     founds.then(|| {
         let founder = |seed: &SocketAddr| Member {
             address: coordinator_address(*seed, settings.ephemeral_ports),
@@ -66,13 +66,12 @@
             node: String::new(),
         };
         let members: Vec<Member> = settings.seeds.iter().map(founder).collect();
-        let own = members.iter().find(|member| member.address == address).map(|member| member.identity);
-        (own.unwrap_or(disk::FOUNDER), View { number: 1, members })
+        (founder_identity(own), View { number: 1, members })
     })
 }
 
-/// The identity of a founder: every process works out the same from the seeds, and no other member can have it, as others
-/// draw theirs above 2^48.
+/// The identity of a founder: every process works out the same from the seeds, and no other member can have it, as the
+/// others' are drawn with the top bit set.
 fn founder_identity(seed: SocketAddr) -> u64 {
     let ip = match seed.ip() {
         IpAddr::V4(ip) => u64::from(u32::from(ip)),
@@ -87,7 +86,7 @@
     let control_plane = settings.bind.control_plane.ok_or_else(|| missing("bind_addresses.control_plane"))?;
     let folder = settings.data_dir.as_ref().ok_or_else(|| missing("data_dir"))?;
     let address = internal_address(IpAddr::V4(settings.ip), settings.ephemeral_ports);
-    let replica = disk::open::<Control>(folder, &address.to_string(), founding_view(settings, address))?;
+    let replica = disk::open::<Control>(folder, &address.to_string(), founding_view(settings))?;
     info!("coordinator {:x} starts in view {}", replica.identity(), replica.view().number);
     let known = settings.seeds.iter().map(|seed| coordinator_address(*seed, settings.ephemeral_ports));
     let coordinator = Arc::new(Coordinator {
--- a/system/control-plane/src/disk.rs
+++ b/system/control-plane/src/disk.rs
@@ -9,9 +9,8 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 use tracing::info;
 
-/// The identity of the members that found a chain, whose disks are empty at the first start of the whole system. A member
-/// is known by address and identity, so that all of them may share it.
-pub const FOUNDER: u64 = 1;
+/// Set in every identity that is drawn, and in none of a founder, whose address and port fill 48 bits.
+const DRAWN: u64 = 1 << 63;
 
 /// An identity that no other member has.
 pub fn new_identity(address: &str) -> u64 {
@@ -20,7 +19,7 @@
     hasher.write(address.as_bytes());
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     hasher.write_u128(since.as_nanos());
-    hasher.finish().max(FOUNDER + 1)
+    hasher.finish() | DRAWN
 }
 
 /// Opens the state in `folder`; where there is none the member begins with an empty one, under the founding view or with an
