--- a/system/batch/src/job.rs
+++ b/system/batch/src/job.rs
@@ -2,6 +2,8 @@
 
 use marblecroft_wire::Bytes;
 use musli::{Decode, Encode};
+use sha2::{Digest, Sha256};
+use std::collections::BTreeMap;
 
 /// An item as it was sent.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
@@ -39,6 +41,29 @@
     }
 }
 
+/// SHA-256 over what a client has sent of a job, each field after its length.
+fn digest(items: &[Item]) -> Bytes {
+    let mut hasher = Sha256::new();
+    let mut field = |bytes: &[u8]| {
+        hasher.update((bytes.len() as u64).to_le_bytes());
+        hasher.update(bytes);
+    };
+    for item in items {
+        field(item.id.as_bytes());
+        field(item.path.as_bytes());
+        // Their order is nobody's choice.
+        let headers: BTreeMap<&String, &String> =
+            item.headers.iter().map(|(name, value)| (name, value)).collect();
+        for (name, value) in headers {
+            field(name.as_bytes());
+            field(value.as_bytes());
+        }
+        field(&item.body.0);
+        field(&item.tokens.to_le_bytes());
+    }
+    Bytes(hasher.finalize().to_vec())
+}
+
 /// How an item ended.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum ItemOutcome {
@@ -74,10 +99,13 @@
     items: Vec<KeptItem>,
     results: Vec<ListedResult>,
     ended: bool,
+    /// Tells a job that is sent again from another one under its id.
+    digest: Bytes,
 }
 
 impl Job {
     pub(crate) fn new(new: NewJob, order: u64) -> Job {
+        let digest = digest(&new.items);
         let items = new.items.into_iter().map(|item| KeptItem { item, listed: false }).collect();
         Job {
             route: new.route,
@@ -88,9 +116,15 @@
             items,
             results: Vec::new(),
             ended: false,
+            digest,
         }
     }
 
+    /// Whether this is the job that is sent, by all that its client has sent of it.
+    pub(crate) fn is_same(&self, new: &NewJob) -> bool {
+        self.digest == digest(&new.items)
+    }
+
     /// Items in all.
     pub fn total(&self) -> usize {
         self.items.len()
--- a/system/batch/src/lib.rs
+++ b/system/batch/src/lib.rs
@@ -36,6 +36,8 @@
     Accepted,
     /// Its tokens do not fit.
     OverQuota,
+    /// Another job was taken under its id.
+    Conflict,
     Done,
     /// There is no such job.
     Unknown,
@@ -70,15 +72,15 @@
         self.waiting.get(route).copied().unwrap_or(0)
     }
 
-    /// Whether a job was taken already, or its tokens fit.
+    /// Whether a job of this id was taken already, or its tokens fit.
     pub fn fits(&self, new: &NewJob) -> bool {
         let after = self.waiting_tokens(&new.route).saturating_add(new.tokens());
         new.max_queued_tokens == 0 || after <= new.max_queued_tokens || self.jobs.contains_key(&new.id)
     }
 
     fn submit(&mut self, new: NewJob) -> Output {
-        if self.jobs.contains_key(&new.id) {
-            return Output::Accepted;
+        if let Some(known) = self.jobs.get(&new.id) {
+            return if known.is_same(&new) { Output::Accepted } else { Output::Conflict };
         }
         if !self.fits(&new) {
             return Output::OverQuota;
--- a/system/chain/src/agreement.rs
+++ b/system/chain/src/agreement.rs
@@ -7,8 +7,9 @@
 
 use crate::replica::{Replica, StateMachine};
 use crate::storage::{Accepted, Storage, Vote};
-use crate::view::{Member, View};
+use crate::view::View;
 use musli::{Decode, Encode};
+use std::collections::BTreeSet;
 use std::io;
 
 /// Ballots of one round, of which each member has its own.
@@ -83,14 +84,6 @@
     }
 }
 
-/// What a proposer needs of the network.
-pub trait Voters {
-    /// A member's vote; `None` where it does not answer.
-    fn ask(&self, member: &Member, request: &VoteRequest) -> Option<VoteReply>;
-    /// Whether the disk of this member is known to be lost: its machine answers with another identity.
-    fn is_lost(&self, member: &Member) -> bool;
-}
-
 /// How an attempt to have a view decided ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -100,50 +93,123 @@
     Undecided { outbid: u64 },
 }
 
+/// What a proposer does after an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Wait for further answers.
+    Wait,
+    /// Ask all members the next request.
+    Ask,
+    Ended(Outcome),
+}
+
+/// The two phases of a ballot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Prepare,
+    Accept,
+}
+
 /// The lowest ballot of a member's own that is above `above`.
 pub fn next_ballot(above: u64, member: usize) -> u64 {
     (above / BALLOTS_A_ROUND + 1) * BALLOTS_A_ROUND + member as u64 % BALLOTS_A_ROUND
 }
 
-/// Tries to have `proposal` decided as the view after `current`, with a ballot of the proposer's own. The proposer's own
-/// vote is asked for like the others'.
-pub fn decide(current: &View, proposal: View, ballot: u64, voters: &impl Voters) -> Outcome {
-    let instance = current.number + 1;
-    let lost = current.members.iter().filter(|member| voters.is_lost(member)).count();
-    let majority = current.majority();
-    let enough = |granted: usize| {
-        granted >= majority || (lost > 0 && lost < majority && granted + lost >= current.members.len())
-    };
-    let mut outbid = 0;
-    let (mut granted, mut highest) = (0, None::<Accepted>);
-    for member in &current.members {
-        match voters.ask(member, &VoteRequest::Prepare { instance, ballot }) {
-            Some(VoteReply::Promised(accepted)) => {
-                granted += 1;
-                highest = [highest, accepted].into_iter().flatten().max_by_key(|accepted| accepted.ballot);
-            }
-            Some(VoteReply::Known(view)) if view.number >= instance => return Outcome::Decided(view),
-            Some(VoteReply::Outbid(other)) => outbid = outbid.max(other),
-            _ => {}
+/// One proposer's attempt to have a view decided, without network. The proposer's own vote is the first that is noted: its
+/// promise is on its disk before anybody is asked to accept, so that no ballot is ever used for two views.
+#[derive(Debug)]
+pub struct Proposal {
+    current: View,
+    view: View,
+    ballot: u64,
+    /// Members whose disk is known to be lost.
+    lost: BTreeSet<u64>,
+    phase: Phase,
+    granted: BTreeSet<u64>,
+    answered: BTreeSet<u64>,
+    highest: Option<Accepted>,
+    outbid: u64,
+}
+
+impl Proposal {
+    /// An attempt to have `view` follow `current`, with a ballot of the proposer's own.
+    pub fn new(current: View, view: View, ballot: u64, lost: BTreeSet<u64>) -> Proposal {
+        Proposal {
+            current,
+            view,
+            ballot,
+            lost,
+            phase: Phase::Prepare,
+            granted: BTreeSet::new(),
+            answered: BTreeSet::new(),
+            highest: None,
+            outbid: 0,
         }
     }
-    if !enough(granted) {
-        return Outcome::Undecided { outbid };
+
+    /// The view whose members vote.
+    pub fn current(&self) -> &View {
+        &self.current
     }
-    let view = highest.map_or(proposal, |accepted| accepted.view);
-    let mut granted = 0;
-    for member in &current.members {
-        let request = VoteRequest::Accept { instance, ballot, view: view.clone() };
-        match voters.ask(member, &request) {
-            Some(VoteReply::Accepted) => granted += 1,
-            Some(VoteReply::Known(view)) if view.number >= instance => return Outcome::Decided(view),
-            Some(VoteReply::Outbid(other)) => outbid = outbid.max(other),
+
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// What the members are asked in this phase.
+    pub fn request(&self) -> VoteRequest {
+        let (instance, ballot) = (self.current.number + 1, self.ballot);
+        match self.phase {
+            Phase::Prepare => VoteRequest::Prepare { instance, ballot },
+            Phase::Accept => VoteRequest::Accept { instance, ballot, view: self.view.clone() },
+        }
+    }
+
+    /// Takes a member's answer, or that there is none.
+    pub fn note(&mut self, phase: Phase, identity: u64, reply: Option<VoteReply>) -> Step {
+        if phase != self.phase || !self.current.contains(identity) || !self.answered.insert(identity) {
+            return Step::Wait;
+        }
+        match (phase, reply) {
+            (Phase::Prepare, Some(VoteReply::Promised(accepted))) => {
+                self.granted.insert(identity);
+                let known = [self.highest.take(), accepted];
+                self.highest = known.into_iter().flatten().max_by_key(|accepted| accepted.ballot);
+            }
+            (Phase::Accept, Some(VoteReply::Accepted)) => {
+                self.granted.insert(identity);
+            }
+            (_, Some(VoteReply::Known(view))) if view.number > self.current.number => {
+                return Step::Ended(Outcome::Decided(view));
+            }
+            (_, Some(VoteReply::Outbid(other))) => self.outbid = self.outbid.max(other),
             _ => {}
         }
+        if self.is_granted() {
+            return self.advance();
+        }
+        if self.answered.len() == self.current.members.len() {
+            return Step::Ended(Outcome::Undecided { outbid: self.outbid });
+        }
+        Step::Wait
+    }
+
+    fn is_granted(&self) -> bool {
+        let (majority, lost) = (self.current.majority(), self.lost.len());
+        let all_left = self.granted.union(&self.lost).count() == self.current.members.len();
+        self.granted.len() >= majority || (lost > 0 && lost < majority && all_left)
     }
-    if enough(granted) {
-        Outcome::Decided(view)
-    } else {
-        Outcome::Undecided { outbid }
+
+    fn advance(&mut self) -> Step {
+        if self.phase == Phase::Accept {
+            return Step::Ended(Outcome::Decided(self.view.clone()));
+        }
+        if let Some(accepted) = self.highest.take() {
+            self.view = accepted.view;
+        }
+        self.phase = Phase::Accept;
+        self.granted.clear();
+        self.answered.clear();
+        Step::Ask
     }
 }
--- a/system/chain/src/chain.rs
+++ b/system/chain/src/chain.rs
@@ -1,21 +1,23 @@
-//! A member among others: the head's rounds, what a member passes on, and who is suspected.
+//! A member among others, as a state machine without I/O: the head's rounds, what a member passes on, and who is suspected.
 //!
-//! [`Chain::run_head`] runs on a thread of its own and does nothing while another member is the head. A round takes all
+//! The caller hands in messages, answers to its calls and the time, and carries out the [`Output`]s. A round takes the
 //! operations that wait, puts them on this member's disk as one entry, and passes them down the chain; once the tail has
 //! them the whole chain has, and whoever waits is answered. A round without operations is a heartbeat, and what confirms
-//! that a reading is the newest.
+//! that a reading is the newest: it begins after the question came, and every member takes part in it.
+//!
+//! **Lease.** A member that has handled round n at a time of its own clock, and later hears from the head that round n went
+//! through the whole chain, knows that every member was still in the view at that time. [`Chain::lease_since`] is that
+//! time: nothing was acknowledged in a later view before it.
 
-use crate::message::{Append, AppendReply, Install, Status};
+use crate::message::{Append, AppendReply, Install, Round, Status};
 use crate::replica::{Position, Received, Replica, StateMachine};
 use crate::storage::Storage;
 use crate::view::{Member, View};
 use marblecroft_wire::Bytes;
 use quick_error::quick_error;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
-use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
-use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tracing::{info, warn};
 
 /// Times that a member's position is asked for anew in one round before it counts as failed.
@@ -26,13 +28,11 @@
 const SMALL: usize = 16 << 10;
 /// Pause after a round that did not go through the chain.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
+/// Rounds whose time of handling is kept until the head confirms them.
+const HANDLED_MOST: usize = 16;
 
-/// Carries messages to other members.
-pub trait Transport: Send + Sync {
-    /// `None` where no answer came in time.
-    fn append(&self, to: &Member, message: &Append, within: Duration) -> Option<AppendReply>;
-    fn install(&self, to: &Member, message: &Install, within: Duration) -> Option<AppendReply>;
-}
+/// Names a request for whoever handed it in.
+pub type Token = u64;
 
 /// How a chain behaves in time.
 #[derive(Clone, Debug)]
@@ -45,7 +45,7 @@
     pub install_time: Duration,
     /// Members that an operation must be on before it is acknowledged.
     pub copies: usize,
-    /// A member that fails its part for so long is suspected.
+    /// A member that fails its part for so long is suspected. Longer than any lease: see [`Chain::lease_since`].
     pub suspect_after: Duration,
 }
 
@@ -68,16 +68,62 @@
     }
 }
 
-type Answer<O> = Result<O, Refused>;
+/// A message to the member that follows.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ToSuccessor {
+    Append(Append),
+    Install(Install),
+}
 
-/// Called with the state that the whole chain holds, or with why there is none.
-type ReadCall<M> = Box<dyn FnOnce(Answer<&M>) + Send>;
+/// What the caller is to do. Outputs are carried out in order, and [`Output::Readable`] before [`Chain::pump`] is called
+/// again.
+#[derive(Debug)]
+pub enum Output<O> {
+    /// Send this, and hand in the answer, or that none came within the time, with [`Chain::on_reply`].
+    Call { call: u64, to: Member, message: ToSuccessor, within: Duration },
+    /// Answer a message that was handed in.
+    Reply { token: Token, reply: AppendReply },
+    /// What became of an operation.
+    Finished { token: Token, result: Result<O, Refused> },
+    /// The state is the newest that was acknowledged, or why it may not be read.
+    Readable { token: Token, result: Result<(), Refused> },
+}
 
-/// Work for the next round.
-enum Pending<M: StateMachine> {
-    Operation(M::Operation, SyncSender<Answer<M::Output>>),
-    /// Called when a round that began later has gone through the whole chain, before the next one begins.
-    Read(ReadCall<M>),
+/// An operation that waits to be ordered.
+struct Queued<O> {
+    token: Token,
+    operation: O,
+    until: Duration,
+}
+
+/// An operation that was ordered and is not yet held by the whole chain.
+struct Ordered<O> {
+    token: Token,
+    /// The entry that holds it.
+    index: u64,
+    output: O,
+    until: Duration,
+}
+
+/// A reading that waits for a round.
+struct Reading {
+    token: Token,
+    until: Duration,
+}
+
+/// A call to the member that follows, and who waits for it.
+struct Pass {
+    call: u64,
+    view: u64,
+    replaced: u64,
+    position: Position,
+    successor: Member,
+    /// When the round was begun here.
+    begun: Duration,
+    installs: bool,
+    readings: Vec<Reading>,
+    /// Messages of the member before this one that are answered with its outcome.
+    upstream: Vec<Token>,
 }
 
 /// Where a round failed.
@@ -87,246 +133,273 @@
     View,
 }
 
-/// What a member passes its state on as. A view that was learnt meanwhile may have taken the part away, and then nothing that
-/// is passed on counts.
-#[derive(Clone, Copy)]
-enum Part {
-    /// The head, with a state that was replaced so many times.
-    Head { replaced: u64 },
-    /// A member of the view of this number.
-    Member { view: u64 },
+/// What this member was when it was last looked at.
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
+struct Role {
+    view: u64,
+    is_head: bool,
+    replaced: u64,
 }
 
-/// What is told of the chain without waiting for a disk.
+/// Rounds that this member has handled, of one session in one view.
 #[derive(Default)]
-struct Observed {
-    status: Status,
-    /// When the last message of a healthy chain came, or the last round of the head's own went through.
-    healthy_at: Option<Instant>,
-    /// When any message of the chain's came.
-    heard_at: Option<Instant>,
-    /// Whom rounds fail at, and since when.
-    failing: Option<(SocketAddr, Instant)>,
-    /// The positions at which other members were last known to be.
-    positions: HashMap<u64, Position>,
-    notice: Bytes,
+struct Handled {
+    view: u64,
+    session: u64,
+    /// Number and time.
+    rounds: VecDeque<(u64, Duration)>,
 }
 
 /// A member of a chain.
-pub struct Chain<M: StateMachine, S, T> {
-    replica: Mutex<Replica<M, S>>,
-    observed: Mutex<Observed>,
-    queue: Mutex<Vec<Pending<M>>>,
-    /// Held while this member passes something on: what it sends reaches its successor in order.
-    passing: Mutex<()>,
-    /// Something waits in the queue.
-    queued: Condvar,
-    /// The state was settled, or the notice has changed.
-    changed: Condvar,
-    transport: T,
+pub struct Chain<M: StateMachine, S> {
+    replica: Replica<M, S>,
     options: Options,
+    queue: VecDeque<Queued<M::Operation>>,
+    ordered: VecDeque<Ordered<M::Output>>,
+    readings: Vec<Reading>,
+    upstream: Vec<Token>,
+    pass: Option<Pass>,
+    calls: u64,
+    attempts: usize,
+    round: Round,
+    /// The round that this member passes on, where it is not the head.
+    forwarded: Round,
+    heartbeat_at: Duration,
+    retry_at: Duration,
+    role: Role,
+    handled: Handled,
+    lease_since: Option<Duration>,
+    healthy_at: Option<Duration>,
+    heard_at: Option<Duration>,
+    failing: Option<(SocketAddr, Duration)>,
+    /// The positions at which other members were last known to be.
+    positions: HashMap<u64, Position>,
+    notice: Bytes,
+    leaving: bool,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    // A thread that panicked has left a state that was whole between two statements.
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-impl<M: StateMachine, S: Storage, T: Transport> Chain<M, S, T> {
-    pub fn new(replica: Replica<M, S>, transport: T, options: Options) -> Chain<M, S, T> {
-        let chain = Chain {
-            replica: Mutex::new(replica),
-            observed: Mutex::default(),
-            queue: Mutex::default(),
-            passing: Mutex::default(),
-            queued: Condvar::new(),
-            changed: Condvar::new(),
-            transport,
+impl<M: StateMachine, S: Storage> Chain<M, S> {
+    /// A member with this state. `session` is drawn anew by every process.
+    pub fn new(replica: Replica<M, S>, options: Options, session: u64) -> Chain<M, S> {
+        let role = role_of(&replica);
+        Chain {
+            replica,
             options,
-        };
-        chain.publish(&lock(&chain.replica));
-        chain
+            queue: VecDeque::new(),
+            ordered: VecDeque::new(),
+            readings: Vec::new(),
+            upstream: Vec::new(),
+            pass: None,
+            calls: 0,
+            attempts: 0,
+            round: Round { session, ..Round::default() },
+            forwarded: Round::default(),
+            heartbeat_at: Duration::ZERO,
+            retry_at: Duration::ZERO,
+            role,
+            handled: Handled::default(),
+            lease_since: None,
+            healthy_at: None,
+            heard_at: None,
+            failing: None,
+            positions: HashMap::new(),
+            notice: Bytes::default(),
+            leaving: false,
+        }
     }
 
-    pub fn transport(&self) -> &T {
-        &self.transport
+    /// The process is about to end: from now on it has no lease, and its status says so.
+    pub fn leave(&mut self) {
+        self.leaving = true;
     }
 
-    /// Runs `f` on this member's state, which waits for its disk.
-    pub fn with_replica<R>(&self, f: impl FnOnce(&mut Replica<M, S>) -> R) -> R {
-        let mut replica = lock(&self.replica);
-        let result = f(&mut replica);
-        self.publish(&replica);
-        result
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
     }
 
-    /// Runs `f` on the state if the whole chain is known to hold it.
-    pub fn read_settled<R>(&self, f: impl FnOnce(&M) -> R) -> Option<R> {
-        let replica = lock(&self.replica);
-        replica.settled().then(|| f(replica.machine()))
+    /// This member's state.
+    pub fn replica(&self) -> &Replica<M, S> {
+        &self.replica
     }
 
-    fn publish(&self, replica: &Replica<M, S>) {
-        let mut observed = lock(&self.observed);
-        let status = Status {
-            identity: replica.identity(),
-            complete: replica.complete(),
-            position: replica.position(),
-            settled: replica.settled(),
-            view: View::default(),
-            suspect: None,
-        };
-        let view = if observed.status.view.number == replica.view().number {
-            std::mem::take(&mut observed.status.view)
-        } else {
-            observed.failing = None;
-            observed.positions.clear();
-            replica.view().clone()
-        };
-        let settled = status.settled && !observed.status.settled;
-        observed.status = Status { view, ..status };
-        drop(observed);
-        if settled {
-            self.changed.notify_all();
-        }
+    /// The state machine if the whole chain is known to hold its state.
+    pub fn settled(&self) -> Option<&M> {
+        self.replica.settled().then(|| self.replica.machine())
     }
 
     /// What this member says of itself.
-    pub fn status(&self) -> Status {
-        let observed = lock(&self.observed);
-        let failing = observed.failing.filter(|failing| failing.1.elapsed() >= self.options.suspect_after);
-        Status { suspect: failing.map(|failing| failing.0), ..observed.status.clone() }
+    pub fn status(&self, now: Duration) -> Status {
+        let failing = self.failing.filter(|failing| now >= failing.1 + self.options.suspect_after);
+        Status {
+            identity: self.replica.identity(),
+            view: self.replica.view().clone(),
+            complete: self.replica.complete(),
+            position: self.replica.position(),
+            settled: self.replica.settled(),
+            suspect: failing.map(|failing| failing.0),
+            leaving: self.leaving,
+        }
     }
 
     pub fn is_head(&self) -> bool {
-        let observed = lock(&self.observed);
-        let status = &observed.status;
-        status.complete && status.view.head().is_some_and(|head| head.identity == status.identity)
+        self.replica.is_head()
     }
 
     /// Where the head of the newest known view is called.
     pub fn head_address(&self) -> Option<SocketAddr> {
-        lock(&self.observed).status.view.head().map(|head| head.address)
+        self.replica.view().head().map(|head| head.address)
     }
 
-    /// Time since the chain was last known to be whole here.
-    pub fn healthy_age(&self) -> Option<Duration> {
-        lock(&self.observed).healthy_at.map(|at| at.elapsed())
+    /// The newest time at which every member was in this member's view, as far as is known here. Nothing was acknowledged in
+    /// a later view before it. `None` where this process is no complete member, or is about to leave.
+    pub fn lease_since(&self) -> Option<Duration> {
+        let holds = self.replica.complete() && self.replica.view().contains(self.replica.identity());
+        self.lease_since.filter(|_| holds && !self.leaving)
     }
 
-    /// Time since anything of the chain was heard here.
-    pub fn heard_age(&self) -> Option<Duration> {
-        lock(&self.observed).heard_at.map(|at| at.elapsed())
+    /// When the chain was last known to be whole here.
+    pub fn healthy_at(&self) -> Option<Duration> {
+        self.healthy_at
     }
 
-    /// The volatile data that the head gave last.
-    pub fn notice(&self) -> Vec<u8> {
-        lock(&self.observed).notice.0.clone()
+    /// When anything of the chain was heard here.
+    pub fn heard_at(&self) -> Option<Duration> {
+        self.heard_at
     }
 
-    /// Sets the data that the head gives to all members.
-    pub fn set_notice(&self, notice: Vec<u8>) {
-        lock(&self.observed).notice = Bytes(notice);
-        self.changed.notify_all();
+    /// The volatile data that the head gave last.
+    pub fn notice(&self) -> &[u8] {
+        &self.notice.0
     }
 
-    /// Waits until the state was settled anew or the notice has changed, for `within` at most.
-    pub fn wait_for_change(&self, within: Duration) {
-        let observed = lock(&self.observed);
-        drop(self.changed.wait_timeout(observed, within));
+    /// Sets the data that the head gives to all members.
+    pub fn set_notice(&mut self, notice: Vec<u8>) {
+        self.notice = Bytes(notice);
     }
 
-    /// Wakes everyone who waits for a change.
-    pub fn notify_change(&self) {
-        self.changed.notify_all();
+    /// Changes this member's durable state outside the chain's own messages: a vote, a view that was learnt, a state that
+    /// was fetched.
+    pub fn with_replica<R>(&mut self, f: impl FnOnce(&mut Replica<M, S>) -> R) -> R {
+        f(&mut self.replica)
     }
 
-    /// Takes notice of a view.
-    pub fn learn(&self, view: &View) -> bool {
-        if view.number <= lock(&self.observed).status.view.number {
-            return false;
-        }
-        let learnt = self.with_replica(|replica| replica.learn(view));
+    /// Takes notice of a view; whether it was news.
+    pub fn learn(&mut self, view: &View) -> bool {
+        let learnt = self.replica.learn(view);
         match &learnt {
             Ok(true) => info!("view {} with {}", view.number, view.addresses()),
             Ok(false) => {}
             Err(e) => warn!("a view could not be kept: {e}"),
         }
-        self.queued.notify_all();
         matches!(learnt, Ok(true))
     }
 
-    /// Has an operation carried out and acknowledged by the whole chain.
-    pub fn submit(&self, operation: M::Operation, within: Duration) -> Answer<M::Output> {
-        let mut outputs = self.submit_all(vec![operation], within)?;
-        outputs.pop().ok_or(Refused::Unknown)
+    /// Has an operation carried out and acknowledged by the whole chain. It may still be carried out after `until`, when it
+    /// is answered with [`Refused::Unknown`].
+    pub fn submit(&mut self, token: Token, operation: M::Operation, until: Duration) {
+        self.queue.push_back(Queued { token, operation, until });
     }
 
-    /// Has operations carried out, in order, and acknowledged by the whole chain.
-    pub fn submit_all(&self, operations: Vec<M::Operation>, within: Duration) -> Answer<Vec<M::Output>> {
-        let until = Instant::now() + within;
-        let wait = |answered: Receiver<Answer<M::Output>>| {
-            let left = until.saturating_duration_since(Instant::now());
-            answered.recv_timeout(left).unwrap_or(Err(Refused::Unknown))
-        };
-        self.begin_all(operations)?.into_iter().map(wait).collect()
+    /// Waits for a round that begins after this call, and confirms by it that this member's state is the newest.
+    pub fn begin_read(&mut self, token: Token, until: Duration) {
+        self.readings.push(Reading { token, until });
     }
 
-    /// Has operations carried out in one of the next rounds, and does not wait for it.
-    pub fn begin_all(&self, operations: Vec<M::Operation>) -> Answer<Vec<Receiver<Answer<M::Output>>>> {
-        let mut answers = Vec::new();
-        let mut pending = Vec::new();
-        for operation in operations {
-            let (answer, answered) = sync_channel(1);
-            pending.push(Pending::Operation(operation, answer));
-            answers.push(answered);
+    /// When [`Chain::pump`] has something to do without further input.
+    pub fn next_wake(&self) -> Duration {
+        let untils = self.queue.iter().map(|queued| queued.until);
+        let untils = untils.chain(self.ordered.iter().map(|ordered| ordered.until));
+        let untils = untils.chain(self.readings.iter().map(|reading| reading.until));
+        let first_until = untils.min().unwrap_or(Duration::MAX);
+        if self.pass.is_some() || !self.is_head() {
+            return first_until;
         }
-        self.enqueue(pending)?;
-        Ok(answers)
+        let next_round = if self.has_work() { self.retry_at } else { self.heartbeat_at };
+        next_round.min(first_until)
     }
 
-    /// Reads the state that the whole chain holds; confirms that this member is the head and no newer state exists.
-    pub fn read<R: Send + 'static>(
-        &self,
-        f: impl FnOnce(&M) -> R + Send + 'static,
-        within: Duration,
-    ) -> Answer<R> {
-        self.begin_read(f)?.recv_timeout(within).unwrap_or(Err(Refused::Unknown))
+    fn has_work(&self) -> bool {
+        !self.queue.is_empty() || !self.ordered.is_empty() || !self.readings.is_empty()
     }
 
-    /// Reads the state in one of the next rounds, and does not wait for it.
-    pub fn begin_read<R: Send + 'static>(
-        &self,
-        f: impl FnOnce(&M) -> R + Send + 'static,
-    ) -> Answer<Receiver<Answer<R>>> {
-        let (answer, answered) = sync_channel(1);
-        let call = move |state: Answer<&M>| drop(answer.try_send(state.map(f)));
-        self.enqueue(vec![Pending::Read(Box::new(call))])?;
-        Ok(answered)
+    /// Begins what is due. Called after every input, until it puts nothing more out.
+    pub fn pump(&mut self, now: Duration, out: &mut Vec<Output<M::Output>>) {
+        self.follow_role(out);
+        self.expire(now, out);
+        if self.pass.is_some() {
+            return;
+        }
+        if self.is_head() {
+            let due = if self.has_work() { self.retry_at } else { self.heartbeat_at };
+            if now < due {
+                return;
+            }
+            self.order(out);
+            self.heartbeat_at = now + self.options.heartbeat;
+            self.attempts = 0;
+            let readings = std::mem::take(&mut self.readings);
+            self.begin_pass(now, readings, Vec::new(), out);
+        } else if !self.upstream.is_empty() {
+            self.attempts = 0;
+            let upstream = std::mem::take(&mut self.upstream);
+            self.begin_pass(now, Vec::new(), upstream, out);
+        }
     }
 
-    fn enqueue(&self, pending: Vec<Pending<M>>) -> Result<(), Refused> {
-        if !self.is_head() {
-            return Err(Refused::NotHead(self.head_address()));
+    /// Whoever waits for what this member no longer does is told.
+    fn follow_role(&mut self, out: &mut Vec<Output<M::Output>>) {
+        let role = role_of(&self.replica);
+        let before = std::mem::replace(&mut self.role, role);
+        if role.view != before.view {
+            self.failing = None;
+            self.positions.clear();
+            self.round.confirmed = 0;
+            if let Some(pass) = self.pass.take() {
+                self.readings.extend(pass.readings);
+                self.upstream.extend(pass.upstream);
+            }
+            let view = self.replica.view().clone();
+            let stale = |token| Output::Reply { token, reply: AppendReply::Stale(view.clone()) };
+            out.extend(std::mem::take(&mut self.upstream).into_iter().map(stale));
+        }
+        if !role.is_head || role.replaced != before.replaced {
+            let unknown = |ordered: Ordered<_>| Output::Finished {
+                token: ordered.token,
+                result: Err(Refused::Unknown),
+            };
+            out.extend(std::mem::take(&mut self.ordered).into_iter().map(unknown));
+        }
+        if !role.is_head {
+            let refused = Refused::NotHead(self.head_address());
+            for queued in std::mem::take(&mut self.queue) {
+                out.push(Output::Finished { token: queued.token, result: Err(refused.clone()) });
+            }
+            let own = self.pass.iter_mut().flat_map(|pass| std::mem::take(&mut pass.readings));
+            for reading in std::mem::take(&mut self.readings).into_iter().chain(own) {
+                out.push(Output::Readable { token: reading.token, result: Err(refused.clone()) });
+            }
         }
-        lock(&self.queue).extend(pending);
-        self.queued.notify_all();
-        Ok(())
     }
 
-    fn take_pending(&self) -> Vec<Pending<M>> {
-        let queue = lock(&self.queue);
-        let timed = self.queued.wait_timeout_while(queue, self.options.heartbeat, |queue| queue.is_empty());
-        let (mut queue, _) = timed.unwrap_or_else(PoisonError::into_inner);
-        Self::take_round(&mut queue)
+    /// Tells whoever has waited long enough. What was only queued was not carried out, and never will be.
+    fn expire(&mut self, now: Duration, out: &mut Vec<Output<M::Output>>) {
+        let finished = |token| Output::Finished { token, result: Err(Refused::Unknown) };
+        let late = self.ordered.iter().filter(|ordered| ordered.until <= now).map(|ordered| ordered.token);
+        out.extend(late.map(finished));
+        self.ordered.retain(|ordered| ordered.until > now);
+        let late = self.queue.iter().filter(|queued| queued.until <= now).map(|queued| queued.token);
+        out.extend(late.map(|token| Output::Finished { token, result: Err(Refused::TooFew) }));
+        self.queue.retain(|queued| queued.until > now);
+        let late = self.readings.iter().filter(|reading| reading.until <= now).map(|reading| reading.token);
+        out.extend(late.map(|token| Output::Readable { token, result: Err(Refused::Unknown) }));
+        self.readings.retain(|reading| reading.until > now);
     }
 
     /// Takes what one round carries off the front of the queue.
-    fn take_round(queue: &mut Vec<Pending<M>>) -> Vec<Pending<M>> {
+    fn take_round(&mut self) -> Vec<Queued<M::Operation>> {
         let mut bytes = 0;
-        let fits = |pending: &Pending<M>| {
-            let Pending::Operation(operation, _) = pending else { return true };
-            let size = M::size_of(operation);
+        let fits = |queued: &Queued<M::Operation>| {
+            let size = M::size_of(&queued.operation);
             // Small ones do not wait for large ones; of these the first always goes.
             let fits = size < SMALL || bytes == 0 || bytes + size <= ROUND_MOST;
             if fits && size >= SMALL {
@@ -334,247 +407,245 @@
             }
             fits
         };
-        let (taken, left) = std::mem::take(queue).into_iter().partition(fits);
-        *queue = left;
+        let (taken, left): (Vec<_>, Vec<_>) = std::mem::take(&mut self.queue).into_iter().partition(fits);
+        self.queue = left.into();
         taken
     }
 
-    /// Runs the head's rounds, until the process ends.
-    pub fn run_head(&self) {
-        loop {
-            let pending = self.take_pending();
-            if self.is_head() {
-                self.round(pending, true);
-            } else {
-                self.refuse(pending, &Refused::NotHead(self.head_address()));
-            }
+    /// Orders the operations of one round, as one entry.
+    fn order(&mut self, out: &mut Vec<Output<M::Output>>) {
+        if self.replica.view().members.len() < self.options.copies {
+            let refused =
+                |queued: Queued<_>| Output::Finished { token: queued.token, result: Err(Refused::TooFew) };
+            out.extend(std::mem::take(&mut self.queue).into_iter().map(refused));
+            return;
         }
-    }
-
-    /// Runs one round of the head's without waiting for work, and passes it down the chain once; for callers with a clock of
-    /// their own.
-    pub fn run_round(&self) {
-        let pending = Self::take_round(&mut lock(&self.queue));
-        if self.is_head() {
-            self.round(pending, false);
-        } else {
-            self.refuse(pending, &Refused::NotHead(self.head_address()));
+        let taken = self.take_round();
+        if taken.is_empty() {
+            return;
         }
-    }
-
-    fn refuse(&self, pending: Vec<Pending<M>>, why: &Refused) {
-        for pending in pending {
-            // Whoever asked may have given up.
-            match pending {
-                Pending::Operation(_, answer) => drop(answer.try_send(Err(why.clone()))),
-                Pending::Read(call) => call(Err(why.clone())),
-            }
+        let (mut waiting, mut operations) = (Vec::new(), Vec::new());
+        for queued in taken {
+            waiting.push((queued.token, queued.until));
+            operations.push(queued.operation);
         }
-    }
-
-    fn round(&self, pending: Vec<Pending<M>>, insist: bool) {
-        let mut operations = Vec::new();
-        let mut answers = Vec::new();
-        let mut reads = Vec::new();
-        let enough = lock(&self.observed).status.view.members.len() >= self.options.copies;
-        for pending in pending {
-            match pending {
-                Pending::Operation(operation, answer) if enough => {
-                    operations.push(operation);
-                    answers.push(answer);
-                }
-                Pending::Operation(_, answer) => drop(answer.try_send(Err(Refused::TooFew))),
-                Pending::Read(call) => reads.push(call),
+        match self.replica.propose(&operations) {
+            Ok(outputs) => {
+                let index = self.replica.position().index;
+                let ordered = |((token, until), output)| Ordered { token, index, output, until };
+                self.ordered.extend(waiting.into_iter().zip(outputs).map(ordered));
             }
-        }
-        let (outputs, replaced) = match self.order(&operations) {
-            Ok(ordered) => ordered,
             Err(e) => {
                 warn!("the disk refused an entry: {e}");
-                let unknown = answers.into_iter().zip(operations);
-                let unknown = unknown.map(|(answer, operation)| Pending::Operation(operation, answer));
-                self.refuse(unknown.chain(reads.into_iter().map(Pending::Read)).collect(), &Refused::Unknown);
-                return;
+                let unknown = |(token, _)| Output::Finished { token, result: Err(Refused::Unknown) };
+                out.extend(waiting.into_iter().map(unknown));
             }
-        };
-        let through = self.pass_round(insist && !outputs.is_empty(), replaced);
-        for (answer, output) in answers.iter().zip(outputs) {
-            drop(answer.try_send(if through { Ok(output) } else { Err(Refused::Unknown) }));
         }
-        if through && !reads.is_empty() {
-            let replica = lock(&self.replica);
-            let stands = replica.is_head() && replica.replaced() == replaced;
-            let state = || if stands { Ok(replica.machine()) } else { Err(Refused::Unknown) };
-            reads.into_iter().for_each(|call| call(state()));
-        } else {
-            reads.into_iter().for_each(|call| call(Err(Refused::Unknown)));
-        }
-    }
-
-    /// Orders operations, and tells how often the state had been replaced by then.
-    fn order(&self, operations: &Vec<M::Operation>) -> std::io::Result<(Vec<M::Output>, u64)> {
-        self.with_replica(|replica| {
-            let outputs = if operations.is_empty() { Vec::new() } else { replica.propose(operations)? };
-            Ok((outputs, replica.replaced()))
-        })
     }
 
-    /// Passes the head's state down the chain; an entry again and again until it is held or the view has changed so that this
-    /// member is not the head.
-    fn pass_round(&self, insist: bool, replaced: u64) -> bool {
-        loop {
-            let healthy = lock(&self.observed).failing.is_none();
-            match self.pass_on(healthy, Part::Head { replaced }) {
-                Ok(()) => return true,
-                Err(failure) => self.note_failure(&failure),
-            }
-            let replaced_since = lock(&self.replica).replaced() != replaced;
-            if !insist || !self.is_head() || replaced_since {
-                return false;
-            }
-            std::thread::sleep(RETRY_PAUSE);
+    /// Passes this member's state to the one that follows; a tail is done at once.
+    fn begin_pass(
+        &mut self,
+        now: Duration,
+        readings: Vec<Reading>,
+        upstream: Vec<Token>,
+        out: &mut Vec<Output<M::Output>>,
+    ) {
+        let is_head = self.is_head();
+        if is_head {
+            self.round.number += 1;
         }
-    }
-
-    fn note_failure(&self, failure: &Failure) {
-        let mut observed = lock(&self.observed);
-        if let Failure::At(address) = failure {
-            if observed.failing.is_none_or(|failing| failing.0 != *address) {
-                observed.failing = Some((*address, Instant::now()));
-            }
-        }
-    }
-
-    /// Brings the members that follow to this member's position, and settles it.
-    fn pass_on(&self, healthy: bool, part: Part) -> Result<(), Failure> {
-        let _passing = lock(&self.passing);
-        for _ in 0..ATTEMPTS {
-            let mut replica = lock(&self.replica);
-            let plays = match part {
-                Part::Head { replaced } => replica.is_head() && replica.replaced() == replaced,
-                Part::Member { view } => replica.complete() && replica.view().number == view,
-            };
-            if !plays || !replica.view().contains(replica.identity()) {
-                return Err(Failure::View);
+        let position = self.replica.position();
+        let followed = self.replica.successor().map(|(member, left)| (member.clone(), left));
+        self.calls += 1;
+        let Some((successor, left)) = followed else {
+            self.complete(now, now, position, readings, upstream, out);
+            return;
+        };
+        let from = self.positions.get(&successor.identity).copied().unwrap_or(position);
+        let (message, within) = match self.replica.entries_since(from) {
+            Some(entries) => {
+                let append = Append {
+                    view: self.replica.view().clone(),
+                    round: if is_head { self.round } else { self.forwarded },
+                    from,
+                    entries,
+                    to: position,
+                    notice: self.notice.clone(),
+                };
+                let parts = u32::try_from(left + 1).unwrap_or(u32::MAX);
+                (ToSuccessor::Append(append), self.options.member_time * parts)
             }
-            let position = replica.position();
-            let Some((successor, left)) = replica.successor().map(|(member, left)| (member.clone(), left))
-            else {
-                replica.settle(position);
-                self.publish(&replica);
-                drop(replica);
-                self.note_healthy(healthy);
-                return Ok(());
-            };
-            let (notice, from) = {
-                let observed = lock(&self.observed);
-                let known = observed.positions.get(&successor.identity).copied();
-                (observed.notice.clone(), known.unwrap_or(position))
-            };
-            let Some(entries) = replica.entries_since(from) else {
-                let install = replica.install_message();
-                drop(replica);
-                self.send_state(&successor, &install)?;
-                continue;
-            };
-            let view = replica.view().clone();
-            drop(replica);
-            let append = Append { view, from, entries, to: position, healthy, notice };
-            let within = self.options.member_time * u32::try_from(left + 1).unwrap_or(u32::MAX);
-            let reply = self.transport.append(&successor, &append, within);
-            if self.judge(&successor, reply, position)? {
-                let stands = self.with_replica(|replica| {
-                    let stands = replica.view().number == append.view.number;
-                    if stands {
-                        replica.settle(position);
-                    }
-                    stands
-                });
-                if !stands {
-                    continue;
-                }
-                self.note_healthy(healthy);
-                return Ok(());
+            None => {
+                let install = self.replica.install_message();
+                info!("sends its whole state, {} bytes, to {}", install.machine.0.len(), successor.address);
+                (ToSuccessor::Install(install), self.options.install_time)
             }
+        };
+        self.pass = Some(Pass {
+            call: self.calls,
+            view: self.replica.view().number,
+            replaced: self.replica.replaced(),
+            position,
+            successor: successor.clone(),
+            begun: now,
+            installs: matches!(message, ToSuccessor::Install(_)),
+            readings,
+            upstream,
+        });
+        out.push(Output::Call { call: self.calls, to: successor, message, within });
+    }
+
+    /// The whole chain from here on holds `position`.
+    fn complete(
+        &mut self,
+        now: Duration,
+        begun: Duration,
+        position: Position,
+        readings: Vec<Reading>,
+        upstream: Vec<Token>,
+        out: &mut Vec<Output<M::Output>>,
+    ) {
+        self.replica.settle(position);
+        self.failing = None;
+        self.heard_at = Some(now);
+        if self.is_head() {
+            self.round.confirmed = self.round.number;
+            self.lease_since = Some(begun);
+            self.healthy_at = Some(now);
+        } else if self.forwarded.is_healthy() {
+            self.healthy_at = Some(now);
         }
-        let replica = lock(&self.replica);
-        Err(replica.successor().map_or(Failure::View, |(member, _)| Failure::At(member.address)))
-    }
-
-    fn note_healthy(&self, healthy: bool) {
-        let mut observed = lock(&self.observed);
-        observed.failing = None;
-        let now = Instant::now();
-        observed.heard_at = Some(now);
-        if healthy {
-            observed.healthy_at = Some(now);
+        out.extend(upstream.into_iter().map(|token| Output::Reply { token, reply: AppendReply::Held }));
+        while let Some(ordered) = self.ordered.pop_front_if(|ordered| ordered.index <= position.index) {
+            out.push(Output::Finished { token: ordered.token, result: Ok(ordered.output) });
+        }
+        // An operation that was ordered and is not yet held shows in the state; its reading waits for the next round.
+        if self.replica.settled() {
+            out.extend(
+                readings.into_iter().map(|reading| Output::Readable { token: reading.token, result: Ok(()) }),
+            );
+        } else {
+            self.readings.extend(readings);
         }
     }
 
-    fn send_state(&self, successor: &Member, install: &Install) -> Result<(), Failure> {
-        info!("sends its whole state, {} bytes, to {}", install.machine.0.len(), successor.address);
-        let reply = self.transport.install(successor, install, self.options.install_time);
-        self.judge(successor, reply, install.position).map(drop)
-    }
-
-    /// Whether the successor holds `position`; `Ok(false)` where it has told another one.
-    fn judge(
-        &self,
-        successor: &Member,
+    /// Takes the answer to a call of this member's, or that there was none.
+    pub fn on_reply(
+        &mut self,
+        now: Duration,
+        call: u64,
         reply: Option<AppendReply>,
-        position: Position,
-    ) -> Result<bool, Failure> {
-        let known = |position| lock(&self.observed).positions.insert(successor.identity, position);
+        out: &mut Vec<Output<M::Output>>,
+    ) {
+        self.follow_role(out);
+        let Some(pass) = self.pass.take_if(|pass| pass.call == call) else { return };
+        let stands = pass.view == self.replica.view().number
+            && pass.replaced == self.replica.replaced()
+            && self.replica.complete();
+        if !stands {
+            self.fail(now, Failure::View, pass, out);
+            return;
+        }
         match reply {
             Some(AppendReply::Held) => {
-                known(position);
-                Ok(true)
+                self.positions.insert(pass.successor.identity, pass.position);
+                if pass.installs {
+                    self.begin_pass(now, pass.readings, pass.upstream, out);
+                } else {
+                    self.complete(now, pass.begun, pass.position, pass.readings, pass.upstream, out);
+                }
             }
             Some(AppendReply::Mismatch(theirs)) => {
-                known(theirs);
-                Ok(false)
+                self.positions.insert(pass.successor.identity, theirs);
+                self.attempts += 1;
+                if self.attempts < ATTEMPTS {
+                    self.begin_pass(now, pass.readings, pass.upstream, out);
+                } else {
+                    self.fail(now, Failure::At(pass.successor.address), pass, out);
+                }
             }
             Some(AppendReply::Stale(view)) => {
                 self.learn(&view);
-                Err(Failure::View)
+                self.fail(now, Failure::View, pass, out);
             }
             Some(AppendReply::Failed(address)) => {
-                known(position);
-                Err(Failure::At(address))
+                self.positions.insert(pass.successor.identity, pass.position);
+                self.fail(now, Failure::At(address), pass, out);
+            }
+            Some(AppendReply::NotMember | AppendReply::Storage) | None => {
+                self.fail(now, Failure::At(pass.successor.address), pass, out);
             }
-            Some(AppendReply::NotMember | AppendReply::Storage) | None => Err(Failure::At(successor.address)),
         }
+        self.follow_role(out);
     }
 
-    /// Takes what the member before this one sends, and passes it on.
-    pub fn handle_append(&self, append: &Append) -> AppendReply {
-        let received = self.with_replica(|replica| replica.receive(append));
-        if let Some(refusal) = refusal(received) {
-            return refusal;
-        }
-        {
-            let mut observed = lock(&self.observed);
-            let now = Instant::now();
-            observed.heard_at = Some(now);
-            if observed.notice != append.notice {
-                observed.notice = append.notice.clone();
-                self.changed.notify_all();
+    fn fail(&mut self, now: Duration, failure: Failure, pass: Pass, out: &mut Vec<Output<M::Output>>) {
+        self.readings.extend(pass.readings);
+        self.retry_at = now + RETRY_PAUSE;
+        let reply = match failure {
+            Failure::At(address) => {
+                if self.failing.is_none_or(|failing| failing.0 != address) {
+                    self.failing = Some((address, now));
+                }
+                AppendReply::Failed(address)
             }
+            Failure::View => AppendReply::Stale(self.replica.view().clone()),
+        };
+        let answer = |token| Output::Reply { token, reply: reply.clone() };
+        out.extend(pass.upstream.into_iter().map(answer));
+    }
+
+    /// Takes what the member before this one sends; it is answered when the members that follow hold it too.
+    pub fn on_append(
+        &mut self,
+        now: Duration,
+        token: Token,
+        append: &Append,
+        out: &mut Vec<Output<M::Output>>,
+    ) {
+        let received = self.replica.receive(append);
+        self.follow_role(out);
+        if let Some(reply) = refusal(received) {
+            out.push(Output::Reply { token, reply });
+            return;
+        }
+        self.heard_at = Some(now);
+        self.note_round(now, append.view.number, append.round);
+        if self.notice != append.notice {
+            self.notice = append.notice.clone();
         }
-        match self.pass_on(append.healthy, Part::Member { view: append.view.number }) {
-            Ok(()) => AppendReply::Held,
-            Err(Failure::At(address)) => AppendReply::Failed(address),
-            Err(Failure::View) => AppendReply::Stale(lock(&self.observed).status.view.clone()),
+        self.forwarded = append.round;
+        self.upstream.push(token);
+    }
+
+    /// Notes that a round was handled, and what it confirms of rounds before.
+    fn note_round(&mut self, now: Duration, view: u64, round: Round) {
+        let handled = &mut self.handled;
+        if (handled.view, handled.session) != (view, round.session) {
+            *handled = Handled { view, session: round.session, rounds: VecDeque::new() };
+        }
+        let confirmed = handled.rounds.iter().find(|handled| handled.0 == round.confirmed);
+        self.lease_since = self.lease_since.max(confirmed.map(|handled| handled.1));
+        handled.rounds.push_back((round.number, now));
+        if handled.rounds.len() > HANDLED_MOST {
+            handled.rounds.pop_front();
         }
     }
 
     /// Takes a whole state.
-    pub fn handle_install(&self, install: &Install) -> AppendReply {
-        let received = self.with_replica(|replica| replica.install(install));
-        refusal(received).unwrap_or(AppendReply::Held)
+    pub fn on_install(&mut self, token: Token, install: &Install, out: &mut Vec<Output<M::Output>>) {
+        let received = self.replica.install(install);
+        self.follow_role(out);
+        let reply = refusal(received).unwrap_or(AppendReply::Held);
+        out.push(Output::Reply { token, reply });
     }
 }
 
+fn role_of<M: StateMachine, S: Storage>(replica: &Replica<M, S>) -> Role {
+    Role { view: replica.view().number, is_head: replica.is_head(), replaced: replica.replaced() }
+}
+
 /// The reply to a message that was refused; `None` where it was taken.
 fn refusal(received: Received) -> Option<AppendReply> {
     match received {
@@ -588,6 +659,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/system/chain/src/lib.rs
+++ b/system/chain/src/lib.rs
@@ -5,7 +5,9 @@
 //! of every member of its view. The next view is headed by a member that was complete in the one before, so it begins with
 //! everything that was acknowledged.
 //!
-//! - [`replica`]: one member's durable state, without network or clock.
+//! Nothing here has threads, sockets or a clock: the time is an argument, and messages are handed in and out.
+//!
+//! - [`replica`]: one member's durable state.
 //! - [`chain`]: a member among others: the head's rounds, and what is passed down the chain.
 //! - [`agreement`]: which view follows, decided by a majority of the members of the view before.
 #![forbid(unsafe_code)]
@@ -17,7 +19,7 @@
 pub mod storage;
 pub mod view;
 
-pub use chain::{Chain, Options, Refused, Transport};
-pub use message::{Append, AppendReply, Install, Status};
+pub use chain::{Chain, Options, Output, Refused, ToSuccessor, Token};
+pub use message::{Append, AppendReply, Install, Round, Status};
 pub use replica::{Position, Replica, StateMachine};
 pub use view::{Member, View};
--- a/system/chain/src/message.rs
+++ b/system/chain/src/message.rs
@@ -6,17 +6,34 @@
 use musli::{Decode, Encode};
 use std::net::SocketAddr;
 
+/// Names one round of one head's process. Rounds of another session, or of another view, prove nothing about each other.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct Round {
+    /// Drawn when the head's process started.
+    pub session: u64,
+    /// Counts the head's attempts to pass something down the chain, from 1.
+    pub number: u64,
+    /// The last round of this session and view that went through the whole chain; 0 where none did.
+    pub confirmed: u64,
+}
+
+impl Round {
+    /// Whether the round directly before this one went through the whole chain.
+    pub fn is_healthy(&self) -> bool {
+        self.confirmed > 0 && self.confirmed + 1 >= self.number
+    }
+}
+
 /// From a member to the one that follows it: entries, or none as a heartbeat.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Append {
     pub view: View,
+    pub round: Round,
     /// Where the entries begin.
     pub from: Position,
     pub entries: Vec<Bytes>,
     /// Where they end: the sender's position.
     pub to: Position,
-    /// Whether the head's last round went through the whole chain.
-    pub healthy: bool,
     /// Volatile data that the head gives to all members.
     pub notice: Bytes,
 }
@@ -58,4 +75,6 @@
     pub settled: bool,
     /// A member further down the chain that has failed its part for a while.
     pub suspect: Option<SocketAddr>,
+    /// Whether its process is about to end, and is to be left out.
+    pub leaving: bool,
 }
--- /dev/null
+++ b/system/control-core/src/membership.rs
@@ -0,0 +1,462 @@
+//! Who is in the coordinators' chain: a process that is not asks to join, members that fail are left out by agreement, and
+//! one that is told to end leaves first.
+//!
+//! A process under way with one [`Task`] begins no other. Every task ends, as every call has an answer or none in time.
+
+use crate::coordinator::Coordinator;
+use marblecroft_chain::agreement::{next_ballot, Outcome, Phase, Proposal, Step, VoteReply, VoteRequest};
+use marblecroft_chain::storage::Storage;
+use marblecroft_chain::{Member, Status, View};
+use marblecroft_protocol::coordinator::{CoordinatorReply, CoordinatorRequest};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tracing::{info, warn};
+
+/// Pause between two looks at the chain.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// Pause between two requests to join.
+const JOIN_EVERY: Duration = Duration::from_millis(300);
+/// A member that has heard nothing of its chain for so long takes its head for failed ...
+pub const HEAD_SILENT: Duration = Duration::from_millis(1000);
+/// ... and as much longer for each member before it, so that they do not bid against each other.
+const SILENT_STEP: Duration = Duration::from_millis(350);
+/// A head that answers is left in place for so long all the same; the fault may be another's, which it mends.
+const HEAD_ANSWERS: Duration = Duration::from_millis(3500);
+/// Time for an answer that needs no disk.
+const STATUS_TIME: Duration = Duration::from_millis(400);
+/// Time for a vote, which goes to a disk.
+const VOTE_TIME: Duration = Duration::from_millis(800);
+/// A process that is told to end tries so long to leave its chain, or half of the time that it has.
+const LEAVE_MOST: Duration = Duration::from_secs(3);
+
+/// The processes that answered, by address.
+type Answers = BTreeMap<SocketAddr, Status>;
+
+/// Why others are asked for their status.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Purpose {
+    /// A process that is no member would be one.
+    Join,
+    /// A member that waits for its state may be in a view that is over.
+    CatchUp,
+    /// The head leaves members out, or takes one in.
+    Lead,
+    /// A member takes its head for failed.
+    Follow,
+}
+
+/// What is under way.
+enum Task {
+    Asking { purpose: Purpose, waits_for: BTreeSet<SocketAddr>, answers: Answers },
+    Proposing(Proposal),
+}
+
+/// What a call of a task was made for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct TaskCall {
+    /// Answers to the calls of earlier tasks change nothing.
+    task: u64,
+    asks: Asks,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Asks {
+    Status(SocketAddr),
+    Vote { phase: Phase, identity: u64 },
+    Join,
+}
+
+/// A coordinator's side of the membership.
+pub(crate) struct Membership {
+    started: Duration,
+    look_at: Duration,
+    join_at: Duration,
+    task: Option<Task>,
+    /// Counts the tasks.
+    number: u64,
+    /// Processes that would be members and hold the state.
+    joining: Vec<Member>,
+    /// Members that have asked to be left out.
+    leaving: BTreeSet<u64>,
+    /// Members that did not answer before a proposal, and are not asked for their votes.
+    silent: BTreeSet<u64>,
+    /// When the process ends whether it has left or not, once it was told to.
+    ends_at: Option<Duration>,
+}
+
+impl Membership {
+    pub(crate) fn new(now: Duration) -> Membership {
+        Membership {
+            started: now,
+            look_at: now,
+            join_at: now,
+            task: None,
+            number: 0,
+            joining: Vec::new(),
+            leaving: BTreeSet::new(),
+            silent: BTreeSet::new(),
+            ends_at: None,
+        }
+    }
+
+    pub(crate) fn note_joining(&mut self, member: Member) {
+        self.joining.retain(|other| other.address != member.address);
+        self.joining.push(member);
+    }
+
+    pub(crate) fn note_leaving(&mut self, identity: u64) {
+        self.leaving.insert(identity);
+    }
+
+    pub(crate) fn next_wake(&self) -> Duration {
+        self.look_at
+    }
+}
+
+impl<S: Storage> Coordinator<S> {
+    fn own_member(&self) -> Member {
+        Member {
+            address: self.settings().address,
+            identity: self.chain().replica().identity(),
+            node: self.settings().node_name.clone(),
+        }
+    }
+
+    /// The process is to end: it leaves its chain first, where the others hold everything.
+    pub(crate) fn terminate(&mut self, now: Duration) {
+        if self.membership.ends_at.is_some() {
+            return;
+        }
+        self.chain_mut().leave();
+        self.membership.ends_at = Some(now + LEAVE_MOST.min(self.settings().grace_period / 2));
+        info!("told to end: leaves the chain");
+    }
+
+    /// Does what is due.
+    pub(crate) fn step_membership(&mut self, now: Duration) {
+        let identity = self.chain().replica().identity();
+        let is_member = self.chain().replica().view().contains(identity);
+        if let Some(ends_at) = self.membership.ends_at {
+            let alone = self.chain().replica().view().members.len() < 2;
+            if !is_member || alone || now >= ends_at {
+                self.exit();
+                return;
+            }
+        }
+        if now < self.membership.look_at {
+            return;
+        }
+        self.membership.look_at = now + LOOK_EVERY;
+        if self.membership.task.is_some() {
+            return;
+        }
+        let may_join = now >= self.membership.join_at;
+        if !is_member {
+            if may_join {
+                self.membership.join_at = now + JOIN_EVERY;
+                self.ask_all(now, Purpose::Join, self.others());
+            }
+        } else if self.chain().is_head() {
+            self.begin_lead(now);
+        } else if self.membership.ends_at.is_some() {
+            if let Some(head) = self.chain().head_address() {
+                self.tell(head, CoordinatorRequest::Leave(identity), STATUS_TIME);
+            }
+        } else if self.chain().replica().complete() {
+            self.begin_follow(now);
+        } else if may_join {
+            self.membership.join_at = now + JOIN_EVERY;
+            let heard = self.chain().heard_at().is_some_and(|at| now < at + HEAD_SILENT);
+            if !heard {
+                self.ask_all(now, Purpose::CatchUp, self.others());
+            }
+        }
+    }
+
+    fn begin_task(&mut self, task: Task) -> u64 {
+        self.membership.number += 1;
+        self.membership.task = Some(task);
+        self.membership.number
+    }
+
+    /// Asks processes what they say of themselves, all at the same time.
+    fn ask_all(&mut self, now: Duration, purpose: Purpose, addresses: Vec<SocketAddr>) {
+        let waits_for: BTreeSet<SocketAddr> =
+            addresses.into_iter().filter(|address| *address != self.settings().address).collect();
+        let answers = Answers::new();
+        let task = self.begin_task(Task::Asking { purpose, waits_for: waits_for.clone(), answers });
+        if waits_for.is_empty() {
+            self.answered(now, purpose, Answers::new());
+            return;
+        }
+        for address in waits_for {
+            let call = TaskCall { task, asks: Asks::Status(address) };
+            self.call_for_task(address, CoordinatorRequest::Status, STATUS_TIME, call);
+        }
+    }
+
+    /// Takes the answer to a call that a task has made.
+    pub(crate) fn take_task_reply(&mut self, now: Duration, call: TaskCall, reply: Option<CoordinatorReply>) {
+        match call.asks {
+            Asks::Join => self.take_join_reply(reply),
+            _ if call.task != self.membership.number => {}
+            Asks::Status(address) => self.take_status(now, address, reply),
+            Asks::Vote { phase, identity } => {
+                let reply = match reply {
+                    Some(CoordinatorReply::Vote(reply)) => Some(reply),
+                    _ => None,
+                };
+                self.take_vote(phase, identity, reply);
+            }
+        }
+    }
+
+    fn take_status(&mut self, now: Duration, address: SocketAddr, reply: Option<CoordinatorReply>) {
+        let Some(Task::Asking { purpose, waits_for, answers }) = &mut self.membership.task else { return };
+        if !waits_for.remove(&address) {
+            return;
+        }
+        if let Some(CoordinatorReply::Status(status)) = reply {
+            answers.insert(address, status);
+        }
+        if waits_for.is_empty() {
+            let (purpose, answers) = (*purpose, std::mem::take(answers));
+            self.answered(now, purpose, answers);
+        }
+    }
+
+    /// All have answered, or not in time.
+    fn answered(&mut self, now: Duration, purpose: Purpose, answers: Answers) {
+        self.membership.task = None;
+        let newest = answers.values().map(|status| &status.view).max_by_key(|view| view.number);
+        let learnt = newest.is_some_and(|newest| self.learn(newest));
+        match purpose {
+            Purpose::Join => self.ask_to_join(),
+            Purpose::CatchUp => {}
+            // What was to be done was of a view that is over.
+            Purpose::Lead | Purpose::Follow if learnt => {}
+            Purpose::Lead => self.lead(now, &answers),
+            Purpose::Follow => self.follow(now, &answers),
+        }
+    }
+
+    fn ask_to_join(&mut self) {
+        let Some(head) = self.chain().head_address().filter(|head| *head != self.settings().address) else {
+            return;
+        };
+        let position = self.chain().replica().position();
+        let request = CoordinatorRequest::Join { member: self.own_member(), position };
+        let call = TaskCall { task: self.membership.number, asks: Asks::Join };
+        self.call_for_task(head, request, STATUS_TIME, call);
+    }
+
+    /// The head has noted this process, or tells the state that it is to have first.
+    fn take_join_reply(&mut self, reply: Option<CoordinatorReply>) {
+        let Some(CoordinatorReply::Learn(state)) = reply else { return };
+        if let Err(e) = self.chain_mut().with_replica(|replica| replica.adopt(&state)) {
+            warn!("a state that was learnt could not be kept: {e}");
+        }
+    }
+
+    fn begin_lead(&mut self, now: Duration) {
+        let status = self.chain().status(now);
+        let view = status.view;
+        let membership = &mut self.membership;
+        membership.joining.retain(|member| !view.contains(member.identity));
+        membership.leaving.retain(|identity| view.contains(*identity));
+        let suspects = view.members.iter().any(|member| Some(member.address) == status.suspect);
+        let changes = suspects || !membership.joining.is_empty() || !membership.leaving.is_empty();
+        if !changes && membership.ends_at.is_none() {
+            return;
+        }
+        let joining = membership.joining.iter().map(|member| member.address);
+        let asked = view.members.iter().map(|member| member.address).chain(joining).collect();
+        self.ask_all(now, Purpose::Lead, asked);
+    }
+
+    /// The head leaves out whom rounds fail at, who has lost its disk and who leaves, and takes in one who asks.
+    fn lead(&mut self, now: Duration, answers: &Answers) {
+        if !self.chain().is_head() {
+            return;
+        }
+        let own = self.own_member().identity;
+        let view = self.chain().replica().view().clone();
+        let hands_over = self.membership.ends_at.is_some();
+        let joining = std::mem::take(&mut self.membership.joining);
+        let suspect = self.chain().status(now).suspect;
+        let answer_of = |member: &Member| answers.get(&member.address);
+        let is_complete = |member: &&Member| {
+            let holds = |status: &Status| {
+                status.identity == member.identity && status.complete && status.view.number == view.number
+            };
+            member.identity == own || answer_of(member).is_some_and(holds)
+        };
+        let leaves = |member: &Member| {
+            let says_so = answer_of(member).is_some_and(|status| status.leaving);
+            says_so && self.membership.leaving.contains(&member.identity)
+        };
+        let fails = |member: &Member| {
+            let lost = answer_of(member).is_some_and(|status| status.identity != member.identity);
+            member.identity != own && (lost || Some(member.address) == suspect)
+        };
+        // Whoever leaves of its own will stays until enough others hold everything.
+        let stay =
+            |member: &&Member| !fails(member) && !leaves(member) && (!hands_over || member.identity != own);
+        let copies = self.settings().tolerated_machines + 1;
+        let may_leave = view.members.iter().filter(stay).filter(is_complete).count() >= copies;
+        if hands_over && !may_leave {
+            return;
+        }
+        let goes = |member: &&Member| fails(member) || (may_leave && leaves(member));
+        let mut members: Vec<Member> = view.members.iter().filter(|member| !goes(member)).cloned().collect();
+        if hands_over {
+            members.retain(|member| member.identity != own);
+            let Some(first) = members.iter().position(|member| is_complete(&member)) else { return };
+            members.swap(0, first);
+        }
+        let answers_as = |member: &&Member| {
+            answer_of(member).is_some_and(|status| status.identity == member.identity && !status.leaving)
+        };
+        // One at a time: each holds everything before the next one votes.
+        members.extend(joining.iter().find(answers_as).cloned());
+        if members != view.members {
+            self.propose(members, answers);
+        }
+    }
+
+    fn begin_follow(&mut self, now: Duration) {
+        let status = self.chain().status(now);
+        if self.silence(now) >= self.patience() {
+            let others = status.view.members.iter().map(|member| member.address).collect();
+            self.ask_all(now, Purpose::Follow, others);
+        }
+    }
+
+    /// For how long this member has not heard that its chain is whole.
+    fn silence(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.chain().healthy_at().unwrap_or(self.membership.started))
+    }
+
+    fn patience(&self) -> Duration {
+        let view = self.chain().replica().view();
+        let rank = view.index_of(self.chain().replica().identity()).unwrap_or(0);
+        HEAD_SILENT + SILENT_STEP * u32::try_from(rank).unwrap_or(u32::MAX)
+    }
+
+    /// A member whose head is silent proposes a view that it heads itself.
+    fn follow(&mut self, now: Duration, answers: &Answers) {
+        let (silence, patience) = (self.silence(now), self.patience());
+        let replica = self.chain().replica();
+        if silence < patience || !replica.complete() || self.chain().is_head() {
+            return;
+        }
+        let (view, identity) = (replica.view().clone(), replica.identity());
+        let answering = |member: &Member| {
+            answers.get(&member.address).is_some_and(|status| status.identity == member.identity)
+        };
+        let head_answers = view.head().is_some_and(answering);
+        if head_answers && silence < HEAD_ANSWERS + patience {
+            return;
+        }
+        let Some(own) = view.members.iter().find(|member| member.identity == identity) else { return };
+        let others = view.members.iter().filter(|member| member.identity != identity && answering(member));
+        let members: Vec<Member> = std::iter::once(own).chain(others).cloned().collect();
+        self.propose(members, answers);
+    }
+
+    /// Begins to have `members` decided as the next view.
+    fn propose(&mut self, members: Vec<Member>, answers: &Answers) {
+        let replica = self.chain().replica();
+        let (current, own) = (replica.view().clone(), replica.identity());
+        let rank = current.index_of(own).unwrap_or(0);
+        let instance = current.number + 1;
+        let promised = if replica.vote().instance == instance { replica.vote().promised } else { 0 };
+        let answer_of = |member: &Member| answers.get(&member.address).map(|status| status.identity);
+        // The machine answers, and its disk is another one.
+        let is_lost =
+            |member: &&Member| answer_of(member).is_some_and(|identity| identity != member.identity);
+        let lost = current.members.iter().filter(is_lost).map(|member| member.identity).collect();
+        let silent = |member: &&Member| member.identity != own && answer_of(member) != Some(member.identity);
+        let silent: BTreeSet<u64> =
+            current.members.iter().filter(silent).map(|member| member.identity).collect();
+        let view = View { number: instance, members };
+        info!("proposes view {}: {}", view.number, view.addresses());
+        let proposal = Proposal::new(current, view, next_ballot(promised, rank), lost);
+        self.begin_task(Task::Proposing(proposal));
+        self.membership.silent = silent;
+        self.ask_votes();
+    }
+
+    /// Asks for the votes of one phase: this process's own first, which must be on its disk before any other is asked.
+    fn ask_votes(&mut self) {
+        let Some(Task::Proposing(proposal)) = &self.membership.task else { return };
+        let (request, phase) = (proposal.request(), proposal.phase());
+        let members = proposal.current().members.clone();
+        let own = self.chain().replica().identity();
+        let reply = self.chain_mut().with_replica(|replica| replica.answer_vote(&request));
+        let granted = matches!(reply, VoteReply::Promised(_) | VoteReply::Accepted);
+        if !granted {
+            warn!("this process's own vote was not given: {reply:?}");
+            self.membership.task = None;
+            return;
+        }
+        let task = self.membership.number;
+        self.take_vote(phase, own, Some(reply));
+        for member in members.iter().filter(|member| member.identity != own) {
+            let under_way = self.membership.number == task
+                && matches!(&self.membership.task, Some(Task::Proposing(p)) if p.phase() == phase);
+            if !under_way {
+                return;
+            }
+            if self.membership.silent.contains(&member.identity) {
+                self.take_vote(phase, member.identity, None);
+                continue;
+            }
+            let call = TaskCall { task, asks: Asks::Vote { phase, identity: member.identity } };
+            self.call_for_task(member.address, CoordinatorRequest::Vote(request.clone()), VOTE_TIME, call);
+        }
+    }
+
+    fn take_vote(&mut self, phase: Phase, identity: u64, reply: Option<VoteReply>) {
+        let Some(Task::Proposing(proposal)) = &mut self.membership.task else { return };
+        match proposal.note(phase, identity, reply) {
+            Step::Wait => {}
+            Step::Ask => self.ask_votes(),
+            Step::Ended(outcome) => {
+                let current = proposal.current().clone();
+                self.membership.task = None;
+                self.conclude(&current, outcome);
+            }
+        }
+    }
+
+    fn conclude(&mut self, current: &View, outcome: Outcome) {
+        match outcome {
+            Outcome::Decided(view) => {
+                self.learn(&view);
+                self.tell_decided(current, &view);
+            }
+            Outcome::Undecided { outbid } => {
+                if outbid > 0 {
+                    // The next ballot of one's own is above what one has promised; promise the other one's.
+                    let request = VoteRequest::Prepare { instance: current.number + 1, ballot: outbid };
+                    self.chain_mut().with_replica(|replica| replica.answer_vote(&request));
+                }
+                warn!("view {} was not agreed", current.number + 1);
+            }
+        }
+    }
+
+    /// Tells everyone concerned of a view that was decided. Whoever does not hear it learns it from the next message of the
+    /// chain.
+    fn tell_decided(&mut self, before: &View, view: &View) {
+        let members = before.members.iter().chain(&view.members);
+        let mut addresses: BTreeSet<SocketAddr> = members.map(|member| member.address).collect();
+        addresses.remove(&self.settings().address);
+        for address in addresses {
+            let request = CoordinatorRequest::Vote(VoteRequest::Decided { view: view.clone() });
+            self.tell(address, request, STATUS_TIME);
+        }
+    }
+}
--- a/system/control-plane/src/store_views.rs
+++ b/system/control-core/src/store_views.rs
@@ -1,50 +1,47 @@
 //! Which stores form the chain that keeps batch jobs. The coordinators decide it: every view of the stores' chain is an
 //! operation of their own chain, and is headed by a store that was complete in the view before.
 
-use crate::coordinator::Coordinator;
 use marblecroft_chain::{Member, View};
-use marblecroft_control_state::Operation;
 use marblecroft_protocol::coordinator::StoreReport;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::PoisonError;
-use std::thread;
-use std::time::{Duration, Instant};
-use tracing::{info, warn};
-
-/// Pause between two looks at the stores.
-const LOOK_EVERY: Duration = Duration::from_millis(100);
-/// A store that has not reported for so long has failed.
-const SILENT: Duration = Duration::from_millis(900);
+use std::time::Duration;
+
+/// A store that has not reported for so long has failed. Stores need as long to find a new head.
+pub const SILENT: Duration = Duration::from_millis(900);
 /// The first view waits for so long after the first report, so that all stores can be in it.
 const FOUNDING_WAIT: Duration = Duration::from_millis(1500);
 /// A store may join when it is at most so many entries behind.
 const BEHIND_MOST: u64 = 100;
-/// Time for the operation that names a view.
-const DECIDE_TIME: Duration = Duration::from_secs(2);
 
 /// A store's last report.
 struct Seen {
     report: StoreReport,
-    at: Instant,
+    at: Duration,
+}
+
+/// How many stores there should be.
+#[derive(Clone, Copy, Debug)]
+pub struct Sizes {
+    /// Copies of everything that was acknowledged.
+    pub copies: usize,
+    /// Members that a view should have.
+    pub wanted: usize,
 }
 
 /// What the stores have reported to this process.
 #[derive(Default)]
 pub struct StoreViews {
-    seen: HashMap<SocketAddr, Seen>,
-    first: Option<Instant>,
-    /// Since when this process is the head, and so the one that stores report to.
-    judges_since: Option<Instant>,
+    seen: BTreeMap<SocketAddr, Seen>,
+    first: Option<Duration>,
     /// The store that is to join next, and the member whose state it fetches ahead.
     joining: Option<(SocketAddr, SocketAddr)>,
 }
 
 impl StoreViews {
     /// Takes notice of a report.
-    pub fn note(&mut self, report: StoreReport) {
-        let at = Instant::now();
-        self.first.get_or_insert(at);
+    pub fn note(&mut self, now: Duration, report: StoreReport) {
+        self.first.get_or_insert(now);
         let before = self.seen.get(&report.address).map(|seen| seen.report.status.position);
         if self.joining.is_some_and(|joining| joining.0 == report.address)
             && before != Some(report.status.position)
@@ -52,82 +49,99 @@
             // It has fetched.
             self.joining = None;
         }
-        self.seen.insert(report.address, Seen { report, at });
+        self.seen.insert(report.address, Seen { report, at: now });
+    }
+
+    /// Forgets what was reported: another process was the head meanwhile.
+    pub fn forget(&mut self) {
+        *self = StoreViews::default();
     }
 
-    fn living(&self) -> impl Iterator<Item = &StoreReport> {
-        self.seen.values().filter(|seen| seen.at.elapsed() < SILENT).map(|seen| &seen.report)
+    fn living(&self, now: Duration) -> impl Iterator<Item = &StoreReport> {
+        self.seen.values().filter(move |seen| now < seen.at + SILENT).map(|seen| &seen.report)
     }
 
-    fn report_of(&self, member: &Member) -> Option<&StoreReport> {
-        self.living()
+    fn report_of(&self, now: Duration, member: &Member) -> Option<&StoreReport> {
+        self.living(now)
             .find(|report| report.address == member.address && report.status.identity == member.identity)
     }
 
-    /// Whether a store of this name reports.
-    pub fn knows(&self, node: &str) -> bool {
-        self.living().any(|report| report.node == node)
+    /// The names of the stores that report.
+    pub fn nodes(&self, now: Duration) -> impl Iterator<Item = &str> {
+        self.living(now).map(|report| report.node.as_str())
     }
 
     /// Stores that report and are not to be emptied.
-    pub fn usable(&self, retired: impl Fn(&str) -> bool) -> usize {
-        self.living().filter(|report| !retired(&report.node)).count()
+    pub fn usable(&self, now: Duration, retired: impl Fn(&str) -> bool) -> usize {
+        self.living(now).filter(|report| !retired(&report.node)).count()
     }
 
     /// Whether all members of this view hold everything.
-    pub fn whole(&self, view: &View) -> bool {
+    pub fn is_whole(&self, now: Duration, view: &View) -> bool {
         view.members.iter().all(|member| {
-            self.report_of(member)
+            self.report_of(now, member)
                 .is_some_and(|report| report.status.view.number == view.number && report.status.complete)
         })
     }
 
-    /// The members that follow `current`, if they should be others. `wanted` is how many there should be, and `copies` how
-    /// many must be there for anything to be taken.
-    fn next(
+    /// The members that follow `current`, if they should be others.
+    pub fn next(
         &mut self,
+        now: Duration,
         current: &View,
-        wanted: usize,
-        copies: usize,
+        sizes: Sizes,
         retired: impl Fn(&str) -> bool,
     ) -> Option<Vec<Member>> {
-        let suspects: BTreeSet<SocketAddr> = current
-            .members
-            .iter()
-            .filter_map(|member| {
-                let status = &self.report_of(member)?.status;
-                status.suspect.filter(|_| status.view.number == current.number)
-            })
-            .collect();
-        let works = |member: &Member| {
-            let suspected = suspects.contains(&member.address);
-            self.report_of(member).is_some() && !suspected && !retired(&member.node)
-        };
-        let complete = |member: &Member| {
-            self.report_of(member)
+        if current.number == 0 && self.first.is_none_or(|first| now < first + FOUNDING_WAIT) {
+            return None;
+        }
+        let members = self.next_members(now, current, sizes, &retired)?;
+        (current.number > 0 || members.len() >= sizes.copies).then_some(members)
+    }
+
+    fn next_members(
+        &mut self,
+        now: Duration,
+        current: &View,
+        sizes: Sizes,
+        retired: &impl Fn(&str) -> bool,
+    ) -> Option<Vec<Member>> {
+        let works: Vec<&Member> = self.working(now, current);
+        let is_complete = |member: &Member| {
+            self.report_of(now, member)
                 .is_some_and(|report| report.status.complete && report.status.view.number == current.number)
         };
+        let goes = |member: &Member| {
+            retired(&member.node) || self.report_of(now, member).is_some_and(|report| report.status.leaving)
+        };
+        let (mut going, staying): (Vec<&Member>, Vec<&Member>) = works.into_iter().partition(|m| goes(m));
         let (mut members, waiting): (Vec<Member>, Vec<Member>) =
-            current.members.iter().filter(|member| works(member)).cloned().partition(|m| complete(m));
+            staying.into_iter().cloned().partition(|member| is_complete(member));
+        going.retain(|member| is_complete(member));
+        if members.len() < sizes.copies {
+            // Who is to go holds what too few others hold, and stays until they do.
+            members.extend(going.into_iter().cloned());
+        }
         let lost = current.members.len() - members.len() - waiting.len();
         if current.number > 0 && members.is_empty() {
             // Nobody is left who holds everything; one may come back.
             return None;
         }
-        if lost > 0 && members.len() >= copies {
+        if lost > 0 && members.len() >= sizes.copies {
             // Those who hold everything go on at once; others join them one after the other.
             return Some(members);
         }
-        let enough = members.len() >= copies;
+        let enough = members.len() >= sizes.copies;
         let whole = waiting.is_empty();
         members.extend(waiting);
+        let going = members.iter().filter(|member| goes(member)).count();
         self.joining = None;
-        if whole && members.len() < wanted {
+        if whole && members.len() < sizes.wanted + going {
             if enough {
-                members.extend(self.prepared_joiner(current, &members, &retired));
+                members.extend(self.prepared_joiner(now, current, &members, retired));
             } else {
                 while let Some(report) =
-                    self.best_joiner(current, &members, &retired).filter(|_| members.len() < wanted)
+                    self.best_joiner(now, current, &members, retired).filter(|_| members.len() < sizes.wanted)
                 {
                     members.push(member_of(report));
                 }
@@ -137,36 +151,56 @@
         (lost > 0 || joined).then_some(members)
     }
 
+    /// The members that report and that no other member suspects.
+    fn working<'a>(&self, now: Duration, current: &'a View) -> Vec<&'a Member> {
+        let suspects: BTreeSet<SocketAddr> = current
+            .members
+            .iter()
+            .filter_map(|member| {
+                let status = &self.report_of(now, member)?.status;
+                status.suspect.filter(|_| status.view.number == current.number)
+            })
+            .collect();
+        let works =
+            |member: &&Member| self.report_of(now, member).is_some() && !suspects.contains(&member.address);
+        current.members.iter().filter(works).collect()
+    }
+
     /// The store that is to join next, in the zone that has the fewest members.
     fn best_joiner(
         &self,
+        now: Duration,
         current: &View,
         members: &[Member],
         retired: &impl Fn(&str) -> bool,
     ) -> Option<&StoreReport> {
         let zones: Vec<&str> =
-            members.iter().filter_map(|member| Some(&*self.report_of(member)?.zone)).collect();
+            members.iter().filter_map(|member| Some(&*self.report_of(now, member)?.zone)).collect();
         let joins = |report: &&StoreReport| {
             let member = members.iter().any(|member| member.identity == report.status.identity);
-            !member && !retired(&report.node) && !current.contains(report.status.identity)
+            !member
+                && !report.status.leaving
+                && !retired(&report.node)
+                && !current.contains(report.status.identity)
         };
         let rank = |report: &&StoreReport| {
             let in_zone = zones.iter().filter(|zone| **zone == report.zone).count();
             (in_zone, report.node.clone())
         };
-        self.living().filter(joins).min_by_key(rank)
+        self.living(now).filter(joins).min_by_key(rank)
     }
 
     /// The store that joins now: one that has fetched the state ahead. Where there is none yet, it is told to.
     fn prepared_joiner(
         &mut self,
+        now: Duration,
         current: &View,
         members: &[Member],
         retired: &impl Fn(&str) -> bool,
     ) -> Option<Member> {
         let tail = members.last()?;
-        let newest = self.report_of(tail)?.status.position.index;
-        let (source, joiner) = (tail.address, self.best_joiner(current, members, retired)?);
+        let newest = self.report_of(now, tail)?.status.position.index;
+        let (source, joiner) = (tail.address, self.best_joiner(now, current, members, retired)?);
         if joiner.status.position.index + BEHIND_MOST >= newest
             && joiner.status.position.index <= newest + BEHIND_MOST
         {
@@ -185,48 +219,3 @@
 fn member_of(report: &StoreReport) -> Member {
     Member { address: report.address, identity: report.status.identity, node: report.node.clone() }
 }
-
-/// Runs until the process ends.
-pub fn run(coordinator: &Coordinator) {
-    let copies = coordinator.settings.tolerated_machines + 1;
-    // One more, so that the loss of one stops nothing.
-    let wanted = copies + 1;
-    loop {
-        thread::sleep(LOOK_EVERY);
-        let judges = coordinator.chain.is_head() && coordinator.fresh();
-        let mut views = coordinator.store_views.lock().unwrap_or_else(PoisonError::into_inner);
-        if !judges {
-            views.judges_since = None;
-            continue;
-        }
-        let since = *views.judges_since.get_or_insert_with(Instant::now);
-        let state = coordinator.chain.read_settled(|control| {
-            let retired: BTreeSet<String> = views
-                .seen
-                .values()
-                .map(|seen| seen.report.node.clone())
-                .filter(|n| control.is_retired(n))
-                .collect();
-            (control.store_view().clone(), retired)
-        });
-        let Some((current, retired)) = state else { continue };
-        if current.number == 0 && views.first.is_none_or(|first| first.elapsed() < FOUNDING_WAIT) {
-            continue;
-        }
-        // Stores need a moment to find a new head.
-        if since.elapsed() < SILENT {
-            continue;
-        }
-        let next = views.next(&current, wanted, copies, |node| retired.contains(node));
-        drop(views);
-        let Some(members) = next else { continue };
-        if current.number == 0 && members.len() < copies {
-            continue;
-        }
-        let view = View { number: current.number + 1, members };
-        info!("names view {} of the stores: {}", view.number, view.addresses());
-        if let Err(e) = coordinator.chain.submit(Operation::StoreView(view), DECIDE_TIME) {
-            warn!("a view of the stores was not taken: {e}");
-        }
-    }
-}
--- /dev/null
+++ b/system/control-plane/src/calls.rs
@@ -0,0 +1,101 @@
+//! Threads that wait for the answers to this process's calls, and for the answers to the calls of others.
+
+use marblecroft_chain::Token;
+use std::collections::HashMap;
+use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+use tracing::warn;
+
+/// Stack of a thread that waits for an answer, in bytes.
+const STACK: usize = 256 << 10;
+/// A thread without work ends after this time.
+const IDLE_MOST: Duration = Duration::from_secs(10);
+/// Whoever has called is answered within this time, or not at all.
+const ANSWER_MOST: Duration = Duration::from_secs(10);
+
+type Job = Box<dyn FnOnce() + Send>;
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    // A thread that panicked has left a state that was whole between two statements.
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Runs jobs that block, each on a thread of its own; threads are used again.
+#[derive(Clone, Default)]
+pub struct ThreadPool {
+    idle: Arc<Mutex<Vec<SyncSender<Job>>>>,
+}
+
+impl ThreadPool {
+    /// Runs a job at once.
+    pub fn run(&self, job: impl FnOnce() + Send + 'static) {
+        let mut job: Job = Box::new(job);
+        loop {
+            let Some(thread) = lock(&self.idle).pop() else { break };
+            match thread.send(job) {
+                Ok(()) => return,
+                // It has ended meanwhile.
+                Err(returned) => job = returned.0,
+            }
+        }
+        let pool = self.clone();
+        let spawned = thread::Builder::new().stack_size(STACK).spawn(move || pool.work(job));
+        if let Err(e) = spawned {
+            warn!("no thread for a call: {e}");
+        }
+    }
+
+    fn work(&self, first: Job) {
+        let (sender, jobs) = sync_channel(1);
+        let mut job = first;
+        loop {
+            job();
+            lock(&self.idle).push(sender.clone());
+            job = match jobs.recv_timeout(IDLE_MOST) {
+                Ok(job) => job,
+                Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => return,
+            };
+        }
+    }
+}
+
+/// Callers that wait for an answer, by token.
+pub struct Callers<R> {
+    waiting: Mutex<(Token, HashMap<Token, SyncSender<R>>)>,
+}
+
+impl<R> Default for Callers<R> {
+    fn default() -> Callers<R> {
+        Callers { waiting: Mutex::new((0, HashMap::new())) }
+    }
+}
+
+impl<R> Callers<R> {
+    /// Hands in a call with `hand_in`, and waits for its answer.
+    pub fn ask(&self, hand_in: impl FnOnce(Token)) -> Option<R> {
+        let (token, answer) = self.enter();
+        hand_in(token);
+        let reply = answer.recv_timeout(ANSWER_MOST).ok();
+        lock(&self.waiting).1.remove(&token);
+        reply
+    }
+
+    fn enter(&self) -> (Token, Receiver<R>) {
+        let (sender, answer) = sync_channel(1);
+        let mut waiting = lock(&self.waiting);
+        waiting.0 += 1;
+        let token = waiting.0;
+        waiting.1.insert(token, sender);
+        (token, answer)
+    }
+
+    /// Answers a call.
+    pub fn answer(&self, token: Token, reply: R) {
+        if let Some(sender) = lock(&self.waiting).1.remove(&token) {
+            // Whoever asked may have given up.
+            drop(sender.try_send(reply));
+        }
+    }
+}
--- a/system/control-plane/src/coordinator.rs
+++ b/system/control-plane/src/coordinator.rs
@@ -1,60 +1,26 @@
-//! A coordinator: a member of the chain that keeps the configuration, and where gateways and stores ask.
+//! The coordinator's program: sockets, files, threads and clocks round [`marblecroft_control_core::coordinator`].
 
+use crate::calls::{Callers, ThreadPool};
 use crate::disk;
-use crate::list_reader;
-use crate::membership;
-use crate::operator;
-use crate::store_views::{self, StoreViews};
-use crate::transport::CoordinatorTransport;
-use marblecroft_chain::{Chain, Member, Options, View};
+use crate::platform_list::PlatformList;
+use crate::shell::{self, Clock, Next, LINGER};
+use marblecroft_chain::{Member, View};
+use marblecroft_control_core::coordinator::{Coordinator, Input, Output, Settings as CoreSettings};
+use marblecroft_control_core::operator::{Call, Method};
 use marblecroft_control_state::Control;
-use marblecroft_log::Log;
-use marblecroft_protocol::coordinator::{
-    ConfigurationUpdate, CoordinatorReply, CoordinatorRequest, Pull, StoreDirective, StoreReport, Updates,
-};
-use marblecroft_protocol::servers::ServerList;
+use marblecroft_protocol::coordinator::{CoordinatorReply, CoordinatorRequest};
 use marblecroft_protocol::{coordinator_address, internal_address};
 use marblecroft_settings::Settings;
-use marblecroft_wire::{decode, http, serve, Bytes};
+use marblecroft_wire::http::{Reply, Request};
+use marblecroft_wire::{draw_number, http, serve, Caller, Service};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::mpsc::{channel, Sender};
+use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tracing::info;
 
-/// A coordinator counts as in touch with the others for so long after the chain was last whole.
-const FRESH_FOR: Duration = Duration::from_millis(1000);
-/// The longest that a gateway's question is held.
-const PULL_MOST: Duration = Duration::from_millis(2000);
-/// A question is answered without news after this time where the coordinator is not in touch.
-const STALE_PULL: Duration = Duration::from_millis(200);
-
-/// The chain of the coordinators.
-pub type ControlChain = Chain<Control, Log, CoordinatorTransport>;
-
-/// What the threads of a coordinator share.
-pub struct Coordinator {
-    pub settings: Settings,
-    pub chain: ControlChain,
-    pub address: SocketAddr,
-    /// Where coordinators may be found: the seeds, and whoever was in a view.
-    known: Mutex<Vec<SocketAddr>>,
-    /// Processes that would be members.
-    pub joining: Mutex<Vec<Member>>,
-    pub store_views: Mutex<StoreViews>,
-}
-
-fn options(settings: &Settings) -> Options {
-    Options {
-        heartbeat: Duration::from_millis(150),
-        member_time: Duration::from_millis(350),
-        install_time: Duration::from_secs(3),
-        copies: settings.tolerated_machines + 1,
-        suspect_after: Duration::from_millis(700),
-    }
-}
-
 /// The first view, where this process is one of those that begin it.
 fn founding_view(settings: &Settings) -> Option<(u64, View)> {
     let own = settings.bind.control_plane?;
@@ -80,139 +46,106 @@
     (ip << 16) | u64::from(seed.port())
 }
 
+fn core_settings(settings: &Settings, address: SocketAddr) -> CoreSettings {
+    let seeds = settings.seeds.iter().map(|seed| coordinator_address(*seed, settings.ephemeral_ports));
+    CoreSettings {
+        node_name: settings.node_name.clone(),
+        address,
+        seeds: seeds.collect(),
+        operator_port: settings.bind.control_plane.map(|own| own.port()),
+        tolerated_machines: settings.tolerated_machines,
+        grace_period: settings.bounds.grace_period,
+        reads_list: settings.cloud_api.is_some(),
+        session: draw_number(),
+    }
+}
+
+/// What the threads of a coordinator share.
+#[derive(Clone)]
+struct Shell {
+    inputs: Sender<Input>,
+    caller: Caller,
+    pool: ThreadPool,
+    list: Option<PlatformList>,
+    requests: Arc<Callers<CoordinatorReply>>,
+    operators: Arc<Callers<Reply>>,
+}
+
 /// Runs a coordinator until the process ends.
 pub fn run(settings: &Settings) -> io::Result<()> {
     let missing = |what: &str| io::Error::new(io::ErrorKind::InvalidInput, format!("{what} is missing"));
     let control_plane = settings.bind.control_plane.ok_or_else(|| missing("bind_addresses.control_plane"))?;
     let folder = settings.data_dir.as_ref().ok_or_else(|| missing("data_dir"))?;
     let address = internal_address(IpAddr::V4(settings.ip), settings.ephemeral_ports);
-    let replica = disk::open::<Control>(folder, &address.to_string(), founding_view(settings))?;
+    let replica = disk::open::<Control>(folder, founding_view(settings))?;
     info!("coordinator {:x} starts in view {}", replica.identity(), replica.view().number);
-    let known = settings.seeds.iter().map(|seed| coordinator_address(*seed, settings.ephemeral_ports));
-    let coordinator = Arc::new(Coordinator {
-        chain: Chain::new(replica, CoordinatorTransport::default(), options(settings)),
-        address,
-        known: Mutex::new(known.collect()),
-        joining: Mutex::default(),
-        store_views: Mutex::default(),
-        settings: settings.clone(),
-    });
-    let internal = coordinator.clone();
-    serve(http::listen(address)?, move |request| internal.answer(request))?;
-    let api = coordinator.clone();
-    http::serve(http::listen(control_plane)?, move |request| operator::answer(&api, &request))?;
-    let head = coordinator.clone();
-    thread::spawn(move || head.chain.run_head());
-    let reader = coordinator.clone();
-    thread::spawn(move || list_reader::run(&reader));
-    let views = coordinator.clone();
-    thread::spawn(move || store_views::run(&views));
-    membership::run(&coordinator)
+    let clock = Clock::start();
+    let mut node = Coordinator::new(core_settings(settings, address), replica, clock.time().steady);
+    let (inputs, received) = channel();
+    let shell = Shell {
+        inputs,
+        caller: Caller::new(Service::Coordinators),
+        pool: ThreadPool::default(),
+        list: settings.cloud_api.clone().map(PlatformList::new),
+        requests: Arc::default(),
+        operators: Arc::default(),
+    };
+    shell::hand_in_signals(shell.inputs.clone(), || Input::Terminate)?;
+    let internal = shell.clone();
+    serve(http::listen(address)?, Service::Coordinators, move |request| internal.answer(request))?;
+    let api = shell.clone();
+    http::serve(http::listen(control_plane)?, move |request| api.answer_operator(request))?;
+    shell::run(&mut node, clock, &received, || Input::Wake, |output| shell.carry_out(output));
+    thread::sleep(LINGER);
+    Ok(())
 }
 
-impl Coordinator {
-    /// Whether this process is in touch with the whole chain.
-    pub fn fresh(&self) -> bool {
-        self.chain.healthy_age().is_some_and(|age| age < FRESH_FOR)
+impl Shell {
+    fn hand_in(&self, input: Input) {
+        // The process ends when nobody takes inputs any more.
+        drop(self.inputs.send(input));
     }
 
-    /// Where coordinators may be called, without this one.
-    pub fn others(&self) -> Vec<SocketAddr> {
-        let mut others = self.known.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        others.extend(self.chain.status().view.members.iter().map(|member| member.address));
-        others.sort_unstable();
-        others.dedup();
-        others.retain(|address| *address != self.address);
-        others
+    fn answer(&self, request: CoordinatorRequest) -> Option<CoordinatorReply> {
+        self.requests.ask(|token| self.hand_in(Input::Request { token, request }))
     }
 
-    fn coordinators(&self) -> Vec<SocketAddr> {
-        self.chain.status().view.members.iter().map(|member| member.address).collect()
-    }
-
-    fn answer(&self, request: CoordinatorRequest) -> CoordinatorReply {
-        match request {
-            CoordinatorRequest::Append(append) => CoordinatorReply::Append(self.chain.handle_append(&append)),
-            CoordinatorRequest::Install(install) => {
-                CoordinatorReply::Append(self.chain.handle_install(&install))
-            }
-            CoordinatorRequest::Vote(vote) => {
-                let before = self.chain.status().view.number;
-                let reply = self.chain.with_replica(|replica| replica.answer_vote(&vote));
-                if self.chain.status().view.number > before {
-                    self.chain.notify_change();
-                }
-                CoordinatorReply::Vote(reply)
-            }
-            CoordinatorRequest::Status => CoordinatorReply::Status(self.chain.status()),
-            CoordinatorRequest::Join(member) => self.note_joining(member),
-            CoordinatorRequest::Pull(pull) => CoordinatorReply::Updates(self.updates(&pull)),
-            CoordinatorRequest::Report(report) => self.note_report(report),
-        }
-    }
-
-    fn note_joining(&self, member: Member) -> CoordinatorReply {
-        if !self.chain.is_head() {
-            return CoordinatorReply::NotHead(self.chain.head_address());
-        }
-        let mut joining = self.joining.lock().unwrap_or_else(PoisonError::into_inner);
-        joining.retain(|other| other.address != member.address);
-        joining.push(member);
-        CoordinatorReply::Noted
+    fn answer_operator(&self, request: Request) -> Reply {
+        let method = match request.method {
+            tiny_http::Method::Get => Method::Get,
+            tiny_http::Method::Post => Method::Post,
+            _ => Method::Other,
+        };
+        let base = request.header("X-Base-Version").map(str::to_owned);
+        let call = Call { method, base, url: request.url, body: request.body };
+        let reply = self.operators.ask(|token| self.hand_in(Input::Operator { token, call }));
+        reply.unwrap_or_else(|| Reply::text(504, "the outcome is not known; send it again"))
     }
 
-    fn note_report(&self, report: StoreReport) -> CoordinatorReply {
-        if !self.chain.is_head() || !self.fresh() {
-            return CoordinatorReply::NotHead(self.chain.head_address());
+    fn carry_out(&self, output: Output) -> Next {
+        match output {
+            Output::Answer { token, reply } => self.requests.answer(token, reply),
+            Output::AnswerOperator { token, reply } => self.operators.answer(token, reply),
+            Output::Call { call, to, request, within } => self.call(call, to, request, within),
+            Output::ReadList => self.read_list(),
+            Output::Exit => return Next::Exit,
         }
-        let fetch_from = {
-            let mut views = self.store_views.lock().unwrap_or_else(PoisonError::into_inner);
-            let address = report.address;
-            views.note(report);
-            views.source_for(address)
-        };
-        let view = self.chain.read_settled(|control| control.store_view().clone()).unwrap_or_default();
-        CoordinatorReply::Stores(StoreDirective { view, fetch_from, coordinators: self.coordinators() })
+        Next::GoOn
     }
 
-    fn newer(&self, pull: &Pull) -> Option<Updates> {
-        let have = pull.have;
-        let mut updates = self.chain.read_settled(|control| Updates {
-            fresh: true,
-            configuration: (control.sequence() > have.configuration).then(|| ConfigurationUpdate {
-                sequence: control.sequence(),
-                body: Bytes(control.body().unwrap_or_default().to_vec()),
-            }),
-            servers: None,
-            stores: (control.store_view().number > have.stores).then(|| control.store_view().clone()),
-            coordinators: Vec::new(),
-        })?;
-        let list: Option<ServerList> = decode(&self.chain.notice()).ok();
-        updates.servers = list.filter(|list| list.version > have.servers);
-        Some(updates)
+    fn call(&self, call: u64, to: SocketAddr, request: CoordinatorRequest, within: Duration) {
+        let shell = self.clone();
+        self.pool.run(move || {
+            let reply = shell.caller.call(to, &request, within).ok();
+            shell.hand_in(Input::Reply { call, reply });
+        });
     }
 
-    /// What is newer than what a gateway has; held until there is something.
-    fn updates(&self, pull: &Pull) -> Updates {
-        let begun = Instant::now();
-        let until = begun + Duration::from_millis(pull.wait_ms.into()).min(PULL_MOST);
-        let mut updates = Updates::default();
-        loop {
-            let fresh = self.fresh();
-            if let Some(newer) = self.newer(pull).filter(|_| fresh) {
-                updates = newer;
-                if updates.configuration.is_some() || updates.servers.is_some() || updates.stores.is_some() {
-                    break;
-                }
-            }
-            let now = Instant::now();
-            if now >= until || (!fresh && now >= begun + STALE_PULL) {
-                break;
-            }
-            self.chain.wait_for_change((until - now).min(STALE_PULL));
-        }
-        updates.fresh = updates.fresh && self.fresh();
-        updates.coordinators = self.coordinators();
-        updates
+    fn read_list(&self) {
+        let shell = self.clone();
+        self.pool.run(move || {
+            let servers = shell.list.as_ref().and_then(PlatformList::read);
+            shell.hand_in(Input::List(servers));
+        });
     }
 }
--- a/system/control-plane/src/main.rs
+++ b/system/control-plane/src/main.rs
@@ -4,22 +4,18 @@
 //! `marblecroft-control store` keeps batch jobs. `check` reads the settings and tells what is wrong with them.
 #![forbid(unsafe_code)]
 
+mod calls;
 mod coordinator;
 mod disk;
 mod flags;
-mod list_reader;
-mod membership;
-mod operator;
+mod platform_list;
+mod shell;
 mod store;
-mod store_views;
-mod transport;
 
 use crate::flags::{MarblecroftControl, MarblecroftControlCmd as Command};
 use mapledeck_events::Log;
 use marblecroft_settings::Settings;
 use std::process::ExitCode;
-use std::sync::atomic::AtomicBool;
-use std::sync::Arc;
 use tracing::error;
 
 /// Exit code for settings or arguments that cannot be used.
@@ -35,10 +31,6 @@
             return ExitCode::from(BAD_USE);
         }
     };
-    if let Err(e) = ignore_hangup() {
-        error!("SIGHUP cannot be handled: {e}");
-        return ExitCode::FAILURE;
-    }
     let ended = match flags.subcommand {
         Command::Coordinator(_) => coordinator::run(&settings),
         Command::Store(_) => store::run(&settings),
@@ -55,10 +47,3 @@
         }
     }
 }
-
-/// SIGHUP says that the settings file has changed. What a control process uses of it does not change while it runs, and the
-/// signal must not end the process.
-fn ignore_hangup() -> std::io::Result<()> {
-    let noted = Arc::new(AtomicBool::new(false));
-    signal_hook::flag::register(signal_hook::consts::SIGHUP, noted).map(drop)
-}
--- a/system/control/src/lib.rs
+++ b/system/control/src/lib.rs
@@ -7,10 +7,12 @@
 use marblecroft_chain::{StateMachine, View};
 use marblecroft_wire::{decode, encode, Bytes};
 use musli::{Decode, Encode};
-use std::collections::BTreeSet;
+use sha2::{Digest, Sha256};
+use std::collections::{BTreeSet, VecDeque};
 
-/// Configurations that are remembered as taken, so that one that is sent again is acknowledged again.
-const REMEMBERED_MOST: usize = 20_000;
+/// Configurations that are remembered as taken, so that one that is sent again is acknowledged again. Of one that was taken
+/// before these, nobody can say any more whether it was.
+pub const REMEMBERED_MOST: usize = 20_000;
 
 /// A change of the state.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
@@ -21,6 +23,8 @@
     StoreView(View),
     /// A store machine is to be emptied.
     Retire { node: String },
+    /// A store machine exists.
+    KnowStore { node: String },
     /// A process begins to read the platform's list: gives it a fencing token that is higher than any before.
     TakeReader,
 }
@@ -34,6 +38,8 @@
     Conflict(u64),
     /// The generation is not higher than the current one.
     NotHigher(u64),
+    /// The generation is not above one that is no longer remembered: the configuration may have been taken before.
+    Forgotten,
     Done,
     Ignored,
     /// The fencing token of whoever reads the platform's list from now on.
@@ -41,11 +47,11 @@
 }
 
 /// A configuration that was taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 struct Taken {
     generation: u64,
-    /// Hash over the whole body.
-    digest: u64,
+    /// SHA-256 over the whole body.
+    digest: Bytes,
 }
 
 /// The state.
@@ -56,18 +62,21 @@
     body: Bytes,
     /// Configurations taken so far. Gateways never go back behind one.
     sequence: u64,
-    taken: Vec<Taken>,
+    /// Configurations that were taken, the oldest first, so in the order of their generations.
+    taken: VecDeque<Taken>,
+    /// The highest generation that was taken and is not remembered any more.
+    forgotten: u64,
     store_view: View,
     retired: BTreeSet<String>,
+    /// Store machines that have reported at any time.
+    known_stores: BTreeSet<String>,
     /// The newest fencing token of whoever reads the platform's list.
     reader_token: u64,
 }
 
-/// Hash over a body (FNV-1a, 64 bits), by which one that is sent again is known.
-fn digest(body: &[u8]) -> u64 {
-    body.iter().fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
-        (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
-    })
+/// What tells one configuration from another: every byte of it.
+fn digest(body: &[u8]) -> Bytes {
+    Bytes(Sha256::digest(body).to_vec())
 }
 
 impl Control {
@@ -88,8 +97,8 @@
 
     /// Whether exactly this configuration was taken.
     pub fn has_taken(&self, generation: u64, body: &[u8]) -> bool {
-        let taken = Taken { generation, digest: digest(body) };
-        self.taken.contains(&taken)
+        let at = self.taken.binary_search_by_key(&generation, |taken| taken.generation);
+        at.is_ok_and(|at| self.taken[at].digest == digest(body))
     }
 
     /// The newest view of the stores' chain.
@@ -102,24 +111,32 @@
         self.retired.contains(node)
     }
 
+    /// Whether a store machine of this name has ever reported.
+    pub fn knows_store(&self, node: &str) -> bool {
+        self.known_stores.contains(node)
+    }
+
     fn replace(&mut self, base: u64, generation: u64, body: Bytes) -> Output {
-        let taken = Taken { generation, digest: digest(&body.0) };
-        if self.taken.contains(&taken) {
+        if self.has_taken(generation, &body.0) {
             return Output::Taken;
         }
+        if generation <= self.forgotten {
+            return Output::Forgotten;
+        }
         if base != self.generation {
             return Output::Conflict(self.generation);
         }
         if generation <= self.generation {
             return Output::NotHigher(self.generation);
         }
+        self.taken.push_back(Taken { generation, digest: digest(&body.0) });
         self.generation = generation;
         self.body = body;
         self.sequence += 1;
-        if self.taken.len() >= REMEMBERED_MOST {
-            self.taken.remove(0);
+        if self.taken.len() > REMEMBERED_MOST {
+            let oldest = self.taken.pop_front();
+            self.forgotten = oldest.map_or(self.forgotten, |oldest| oldest.generation);
         }
-        self.taken.push(taken);
         Output::Taken
     }
 }
@@ -144,6 +161,10 @@
                 self.retired.insert(node);
                 Output::Done
             }
+            Operation::KnowStore { node } => {
+                self.known_stores.insert(node);
+                Output::Done
+            }
         }
     }
 
--- a/system/data-plane/src/batch_api.rs
+++ b/system/data-plane/src/batch_api.rs
@@ -193,6 +193,7 @@
             StoreReply::OverQuota => {
                 refusal(StatusCode::TOO_MANY_REQUESTS, "too many tokens wait", RETRY_QUOTA)
             }
+            StoreReply::Conflict => own(StatusCode::CONFLICT, "another job was taken under this id"),
             _ => own(StatusCode::GATEWAY_TIMEOUT, "the outcome is not known"),
         },
         Outcome::NotRun => refusal(StatusCode::SERVICE_UNAVAILABLE, "no store takes the job", RETRY_SOON),
--- a/system/data-plane/src/puller.rs
+++ b/system/data-plane/src/puller.rs
@@ -4,7 +4,7 @@
 use marblecroft_protocol::coordinator::{CoordinatorReply, CoordinatorRequest, Pull};
 use marblecroft_protocol::coordinator_address;
 use marblecroft_settings::Settings;
-use marblecroft_wire::Caller;
+use marblecroft_wire::{Caller, Service};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
@@ -19,7 +19,7 @@
 
 /// Runs until the process ends.
 pub fn run(settings: &Settings, state: &Arc<State>) {
-    let caller = Caller::default();
+    let caller = Caller::new(Service::Coordinators);
     let mut coordinators: Vec<SocketAddr> =
         settings.seeds.iter().map(|seed| coordinator_address(*seed, settings.ephemeral_ports)).collect();
     if coordinators.is_empty() {
--- a/system/data-plane/src/stores.rs
+++ b/system/data-plane/src/stores.rs
@@ -2,7 +2,7 @@
 
 use crate::state::State;
 use marblecroft_protocol::store::{StoreReply, StoreRequest};
-use marblecroft_wire::Caller;
+use marblecroft_wire::{Caller, Service};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -33,7 +33,7 @@
 
 impl Stores {
     pub fn new(state: Arc<State>) -> Stores {
-        Stores { caller: Caller::default(), state, head: Arc::default() }
+        Stores { caller: Caller::new(Service::Stores), state, head: Arc::default() }
     }
 
     fn candidates(&self) -> Vec<SocketAddr> {
--- a/system/log/src/lib.rs
+++ b/system/log/src/lib.rs
@@ -1,12 +1,17 @@
 //! A log of records on disk, in segments. Every segment begins with a snapshot of the state that the records before it
 //! led to, so the newest whole segment alone gives the state back.
 //!
-//! A record counts as durable once [`Log::append`] has returned: it is written and synced. After a loss of power the last
-//! record may be torn; [`Log::open`] stops reading at the first record whose checksum does not match. A new segment is
-//! written and synced, with its folder, before older ones are removed; while the newest has no whole snapshot the one
-//! before it is used.
+//! A record counts as durable once [`Log::append`] has returned: it is written and synced. After a loss of power the records
+//! that were being written may be torn; [`Log::open`] stops reading at the first record whose checksum does not match. A new
+//! segment is written and synced, with its folder, before older ones are removed; while the newest has no whole snapshot the
+//! one before it is used.
 //!
-//! Format of a record: length of the payload (u32, little endian), CRC-32 of the payload, the payload. A segment begins
+//! **Damage.** Every append begins with a mark that says where it stands: it is written only after everything before it was
+//! synced. A record that does not check in front of a whole mark was therefore synced, and perhaps told of: this is damage,
+//! not a torn end, and [`Recovered::damaged`] says so. Damage within the very last append can't be told from a torn end.
+//!
+//! Format of a record: length of the payload (u32, little endian), CRC-32 of the payload, the payload. A mark is a record
+//! of [`MARK_LENGTH`] bytes: [`MARK`], number of the segment and offset of the mark (u64, little endian). A segment begins
 //! with [`MAGIC`], which holds the version of the format.
 #![forbid(unsafe_code)]
 
@@ -15,7 +20,13 @@
 use std::path::{Path, PathBuf};
 
 /// First bytes of a segment; the last one is the version of the format.
-pub const MAGIC: [u8; 8] = *b"mcroft\x00\x01";
+pub const MAGIC: [u8; 8] = *b"mcroft\x00\x02";
+/// What [`MAGIC`] has in every version.
+const MAGIC_PREFIX: &[u8] = b"mcroft\x00";
+/// First bytes of a mark's payload.
+const MARK: [u8; 8] = *b"mc-mark\x00";
+/// Bytes of a mark's payload.
+const MARK_LENGTH: usize = 24;
 /// Bytes in front of a record's payload.
 const HEADER: usize = 8;
 /// The longest payload of a record, in bytes. Guards against a length that was torn or damaged.
@@ -30,6 +41,8 @@
     pub records: Vec<Vec<u8>>,
     /// Bytes behind the last whole record that were passed over.
     pub passed_over: usize,
+    /// Whether something that was synced cannot be read: what was found is an older state than was told of.
+    pub damaged: bool,
 }
 
 /// The open log of one folder.
@@ -53,10 +66,15 @@
         let mut recovered = Recovered::default();
         for &number in numbers.iter().rev() {
             let bytes = read_file(&segment_path(folder, number))?;
-            if let Some(found) = read_segment(&bytes) {
-                recovered = found;
+            if let Some(found) = read_segment(&bytes, number)? {
+                recovered = Recovered { damaged: recovered.damaged || found.damaged, ..found };
                 break;
             }
+            // Nothing is appended to a segment before its snapshot is synced and the older segments are gone for good.
+            recovered.damaged |= find_mark(&bytes, number).is_some();
+        }
+        if recovered.snapshot.is_none() {
+            recovered.damaged |= newest > 1;
         }
         let log =
             Log { folder: folder.to_owned(), number: newest, file: None, length: 0, snapshot_length: 0 };
@@ -76,13 +94,14 @@
         file.write_all(&bytes)?;
         file.sync_all()?;
         sync_folder(&self.folder)?;
-        self.file = Some(file);
         self.length = bytes.len() as u64;
         self.snapshot_length = self.length;
         for older in segment_numbers(&self.folder)?.into_iter().filter(|&older| older < number) {
-            // What stays is removed with the next segment; it is never read in place of this one.
-            drop(fs::remove_file(segment_path(&self.folder, older)));
+            fs::remove_file(segment_path(&self.folder, older))?;
         }
+        // An older segment beside a broken one then says that nothing was told of the newer one.
+        sync_folder(&self.folder)?;
+        self.file = Some(file);
         Ok(())
     }
 
@@ -90,6 +109,7 @@
     pub fn append(&mut self, records: &[&[u8]]) -> io::Result<()> {
         let mut file = self.file.take().ok_or_else(|| io::Error::other("the segment is not writable"))?;
         let mut bytes = Vec::new();
+        encode_record(&mark(self.number, self.length), &mut bytes)?;
         for record in records {
             encode_record(record, &mut bytes)?;
         }
@@ -156,15 +176,54 @@
     (crc32fast::hash(payload) == u32::from_le_bytes(*checksum)).then_some((payload, rest))
 }
 
-/// What a segment holds; `None` where it has no whole snapshot.
-fn read_segment(bytes: &[u8]) -> Option<Recovered> {
-    let body = bytes.strip_prefix(&MAGIC)?;
-    let (snapshot, mut rest) = decode_record(body)?;
+/// The payload of the mark at an offset of a segment.
+fn mark(number: u64, offset: u64) -> [u8; MARK_LENGTH] {
+    let mut payload = [0; MARK_LENGTH];
+    payload[..8].copy_from_slice(&MARK);
+    payload[8..16].copy_from_slice(&number.to_le_bytes());
+    payload[16..].copy_from_slice(&offset.to_le_bytes());
+    payload
+}
+
+/// Offset of the first whole mark of this segment at or behind the start of `bytes`, which is the whole segment.
+fn find_mark(bytes: &[u8], number: u64) -> Option<usize> {
+    find_mark_behind(bytes, number, MAGIC.len())
+}
+
+fn find_mark_behind(bytes: &[u8], number: u64, from: usize) -> Option<usize> {
+    let is_mark = |offset: &usize| {
+        let payload = decode_record(&bytes[*offset..]).map(|(payload, _)| payload);
+        payload == Some(&mark(number, *offset as u64)[..])
+    };
+    // The length in front of a mark is always the same, and rules most offsets out.
+    let length = (MARK_LENGTH as u32).to_le_bytes();
+    (from..bytes.len()).filter(|&offset| bytes[offset..].starts_with(&length)).find(is_mark)
+}
+
+/// What a segment holds; `None` where it has no whole snapshot. A format that this program does not know is an error.
+fn read_segment(bytes: &[u8], number: u64) -> io::Result<Option<Recovered>> {
+    let Some(body) = bytes.strip_prefix(&MAGIC) else {
+        let version = bytes.strip_prefix(MAGIC_PREFIX).and_then(|rest| rest.first().copied());
+        // Zero is a torn header, and marks of this format mean that the version was damaged.
+        let other = version.filter(|version| *version != 0 && find_mark(bytes, number).is_none());
+        return other.map_or(Ok(None), |version| Err(unknown_format(number, version)));
+    };
+    let Some((snapshot, mut rest)) = decode_record(body) else { return Ok(None) };
     let mut recovered = Recovered { snapshot: Some(snapshot.to_vec()), ..Recovered::default() };
     while let Some((payload, behind)) = decode_record(rest) {
-        recovered.records.push(payload.to_vec());
+        let offset = (bytes.len() - rest.len()) as u64;
+        if payload != mark(number, offset) {
+            recovered.records.push(payload.to_vec());
+        }
         rest = behind;
     }
     recovered.passed_over = rest.len();
-    Some(recovered)
+    recovered.damaged = find_mark_behind(bytes, number, bytes.len() - rest.len()).is_some();
+    Ok(Some(recovered))
+}
+
+fn unknown_format(number: u64, version: u8) -> io::Error {
+    let known = MAGIC[MAGIC.len() - 1];
+    let text = format!("segment {number} has format {version}, and this program reads format {known}");
+    io::Error::new(io::ErrorKind::InvalidData, text)
 }
--- a/system/protocol/src/coordinator.rs
+++ b/system/protocol/src/coordinator.rs
@@ -2,7 +2,7 @@
 
 use crate::servers::{ListVersion, ServerList};
 use marblecroft_chain::agreement::{VoteReply, VoteRequest};
-use marblecroft_chain::{Append, AppendReply, Install, Member, Status, View};
+use marblecroft_chain::{Append, AppendReply, Install, Member, Position, Status, View};
 use marblecroft_wire::Bytes;
 use musli::{Decode, Encode};
 use std::net::SocketAddr;
@@ -17,8 +17,10 @@
     Vote(VoteRequest),
     /// From anyone: what this process says of itself.
     Status,
-    /// From a process that is not in the view and would be.
-    Join(Member),
+    /// From a process that is not in the view and would be, with the position of its state.
+    Join { member: Member, position: Position },
+    /// From a member that is about to end, as its status says too: the head leaves it out. Names its identity.
+    Leave(u64),
     /// From a gateway: what is newer than what it has.
     Pull(Pull),
     /// From a store.
@@ -34,6 +36,8 @@
     Stores(StoreDirective),
     /// Noted; the view will tell.
     Noted,
+    /// To a process that would join: the state that it takes first.
+    Learn(Install),
     /// Another process is the head, as far as this one knows.
     NotHead(Option<SocketAddr>),
 }
--- a/system/protocol/src/store.rs
+++ b/system/protocol/src/store.rs
@@ -36,6 +36,8 @@
     Accepted,
     /// A job does not fit; none of it runs.
     OverQuota,
+    /// Another job was taken under its id; none of this one runs.
+    Conflict,
     Results(ResultsPage),
     Body(#[musli(bytes)] Vec<u8>),
     /// A job was ended.
--- a/system/wire/src/call.rs
+++ b/system/wire/src/call.rs
@@ -1,10 +1,19 @@
-//! One call: an HTTP POST with a message each way.
+//! One call: an HTTP POST with a message each way, each in an envelope that says whose it is.
+//!
+//! An answer counts only where its envelope repeats the call's: who asked, whom, and which call. Anything else (a late answer
+//! on a kept connection, another process at an address that was used before, an echo) leaves the outcome unknown and ends
+//! the connections on which it may have come. No call is sent again by itself.
 
-use crate::frame::{decode, encode, Message};
+use crate::frame::{decode, encode, Bytes, Message};
 use crate::http::{self, Reply};
+use musli::{Decode, Encode};
 use quick_error::quick_error;
+use std::collections::hash_map::RandomState;
+use std::hash::{BuildHasher, Hasher};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 /// The path of every call.
@@ -13,6 +22,8 @@
 const MESSAGE_MOST: u64 = 512 << 20;
 /// Time in which a connection must come up. A machine without power says nothing.
 const CONNECT_MOST: Duration = Duration::from_millis(400);
+/// Status of the answer to a call that is for another process.
+const MISDIRECTED: u16 = 421;
 
 quick_error! {
     /// Why a call has no answer; it says whether the other side may have carried it out.
@@ -36,22 +47,60 @@
     }
 }
 
+/// The chains whose members are called.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum Service {
+    Coordinators,
+    Stores,
+}
+
+/// Names one call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct CallName {
+    /// The process that asks; drawn when it starts.
+    pub caller: u64,
+    /// Counts its calls.
+    pub number: u64,
+    pub service: Service,
+    /// Where the process that is asked listens.
+    pub callee: SocketAddr,
+}
+
+/// A message with the name of its call. The answer repeats the name.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Envelope {
+    pub name: CallName,
+    pub message: Bytes,
+}
+
+/// A number that no other process draws.
+pub fn draw_number() -> u64 {
+    // The standard library seeds its hashes from the system's source of randomness.
+    let mut hasher = RandomState::new().build_hasher();
+    hasher.write_u32(std::process::id());
+    hasher.finish()
+}
+
 /// Makes calls; keeps connections for further ones.
 #[derive(Clone)]
-pub struct Caller(ureq::Agent);
+pub struct Caller {
+    service: Service,
+    identity: u64,
+    numbers: Arc<AtomicU64>,
+    agent: Arc<Mutex<ureq::Agent>>,
+}
 
-impl Default for Caller {
-    fn default() -> Caller {
-        let config = ureq::Agent::config_builder()
-            .http_status_as_error(false)
-            .max_idle_connections(16)
-            .max_idle_connections_per_host(4)
-            .max_idle_age(Duration::from_secs(4))
-            .timeout_connect(Some(CONNECT_MOST))
-            .proxy(None)
-            .build();
-        Caller(config.into())
-    }
+fn new_agent() -> ureq::Agent {
+    let config = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .max_idle_connections(16)
+        .max_idle_connections_per_host(4)
+        .max_idle_age(Duration::from_secs(4))
+        .timeout_connect(Some(CONNECT_MOST))
+        .proxy(None)
+        .build();
+    config.into()
 }
 
 fn error(cause: &ureq::Error) -> CallError {
@@ -68,34 +117,79 @@
 }
 
 impl Caller {
-    /// Sends `request` and waits for the reply, for `within` at most.
+    /// Calls to members of one chain.
+    pub fn new(service: Service) -> Caller {
+        Caller {
+            service,
+            identity: draw_number(),
+            numbers: Arc::default(),
+            agent: Arc::new(Mutex::new(new_agent())),
+        }
+    }
+
+    /// Sends `request` once and waits for the reply, for `within` at most.
     pub fn call<Q: Message, R: Message>(
         &self,
         to: SocketAddr,
         request: &Q,
         within: Duration,
     ) -> Result<R, CallError> {
-        let post = self.0.post(format!("http://{to}{PATH}")).config().timeout_global(Some(within)).build();
-        let sent = post.send(&encode(request)[..]);
+        let name = CallName {
+            caller: self.identity,
+            number: self.numbers.fetch_add(1, Ordering::Relaxed),
+            service: self.service,
+            callee: to,
+        };
+        let envelope = Envelope { name, message: Bytes(encode(request)) };
+        let agent = self.agent.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let post = agent.post(format!("http://{to}{PATH}")).config().timeout_global(Some(within)).build();
+        let sent = post.send(&encode(&envelope)[..]);
         let mut response = sent.map_err(|e| error(&e))?;
         let body = response.body_mut().with_config().limit(MESSAGE_MOST).read_to_vec();
         let body = body.map_err(|e| CallError::Unknown(e.to_string()))?;
-        if response.status() != 200 {
-            return Err(CallError::Unknown(format!("status {}", response.status())));
-        }
-        decode(&body).map_err(|e| CallError::Unknown(e.to_string()))
+        let answer = if response.status() == 200 { read_answer(&name, &body) } else { None };
+        answer.ok_or_else(|| {
+            // What comes next on the same connection may be another call's.
+            *self.agent.lock().unwrap_or_else(PoisonError::into_inner) = new_agent();
+            CallError::Unknown(format!("status {}, or an answer to another call", response.status()))
+        })
     }
 }
 
-/// Answers calls on `listener`, each on a thread of its own, until the process ends.
-pub fn serve<Q, R, F>(listener: TcpListener, handler: F) -> io::Result<()>
+/// The message of an answer; `None` where it is not the answer to this call.
+fn read_answer<R: Message>(name: &CallName, body: &[u8]) -> Option<R> {
+    let envelope: Envelope = decode(body).ok()?;
+    (envelope.name == *name).then(|| decode(&envelope.message.0).ok())?
+}
+
+/// Answers calls to this service on `listener`, each on a thread of its own, until the process ends. Calls for another
+/// address or service are refused. A handler
+/// without an answer leaves the outcome unknown.
+pub fn serve<Q, R, F>(listener: TcpListener, service: Service, handler: F) -> io::Result<()>
 where
     Q: Message,
     R: Message,
-    F: Fn(Q) -> R + Send + Sync + 'static,
+    F: Fn(Q) -> Option<R> + Send + Sync + 'static,
 {
-    http::serve(listener, move |request| match decode(&request.body) {
-        Ok(message) => Reply::bytes(200, encode(&handler(message))),
-        Err(e) => Reply::text(400, &e.to_string()),
+    let own = listener.local_addr()?;
+    http::serve(listener, move |request| {
+        let envelope: Envelope = match decode(&request.body) {
+            Ok(envelope) => envelope,
+            Err(e) => return Reply::text(400, &e.to_string()),
+        };
+        let name = envelope.name;
+        if name.callee != own || name.service != service {
+            return Reply::text(MISDIRECTED, "this call is for another process");
+        }
+        match decode(&envelope.message.0) {
+            Ok(message) => match handler(message) {
+                Some(reply) => {
+                    let message = Bytes(encode(&reply));
+                    Reply::bytes(200, encode(&Envelope { name, message }))
+                }
+                None => Reply::text(500, "no answer in time"),
+            },
+            Err(e) => Reply::text(400, &e.to_string()),
+        }
     })
 }
