Simulate whole clusters of the control side from a seed

Need: bad orders of messages, losses and restarts must be brought about by tests, and judged by something that shares no code with the program.

Change: system/simulation plays coordinators, stores, operators, gateways, batch clients and the platform's list on a virtual network, disks and clocks; a judge checks the history; 'search' and 'replay' on the command line. What a member makes of its disk moved into control-core. Mended on the way, each found by a seed: a reader whose token was of an earlier view kept its process busy; a joiner could stand twice in a view, after which no task of its members ever ended.

--- a/system/batch/src/capacity.rs
+++ b/system/batch/src/capacity.rs
@@ -1,6 +1,6 @@
 //! How many items all gateways together may run: what the servers hold, less what live requests need.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// A gateway that has not been heard of for so long is not counted.
@@ -27,7 +27,7 @@
 /// What all gateways told.
 #[derive(Debug, Default)]
 pub struct Capacity {
-    gateways: HashMap<String, Told>,
+    gateways: BTreeMap<String, Told>,
 }
 
 impl Capacity {
--- a/system/control-core/src/lib.rs
+++ b/system/control-core/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod coordinator;
 mod list_reader;
+pub mod member;
 mod membership;
 pub mod operator;
 pub mod store;
--- a/system/control-core/src/list_reader.rs
+++ b/system/control-core/src/list_reader.rs
@@ -32,7 +32,9 @@
 impl ListReader {
     /// What to do, where this process may read as the head of the view of this number.
     pub fn step(&mut self, now: Duration, view: u64) -> Step {
-        if self.token.is_none_or(|token| token.0 != view) {
+        // A token of an earlier view is another head's, even where that was this process.
+        self.token = self.token.filter(|token| token.0 == view);
+        if self.token.is_none() {
             let begins = !self.takes_token;
             self.takes_token = true;
             return if begins { Step::TakeToken } else { Step::Wait };
--- a/system/control-core/src/membership.rs
+++ b/system/control-core/src/membership.rs
@@ -1,7 +1,7 @@
 //! Who is in the coordinators' chain: a process that is not asks to join, members that fail are left out by agreement, and
 //! one that is told to end leaves first.
 //!
-//! A process under way with one [`Task`] begins no other. Every task ends, as every call has an answer or none in time.
+//! A process under way with one [`Task`] begins no other, and gives it up after [`TASK_MOST`].
 
 use crate::coordinator::Coordinator;
 use marblecroft_chain::agreement::{next_ballot, Outcome, Phase, Proposal, Step, VoteReply, VoteRequest};
@@ -27,6 +27,8 @@
 const STATUS_TIME: Duration = Duration::from_millis(400);
 /// Time for a vote, which goes to a disk.
 const VOTE_TIME: Duration = Duration::from_millis(800);
+/// A task is given up after this time, which is more than all of its calls may take.
+const TASK_MOST: Duration = Duration::from_secs(3);
 /// A process that is told to end tries so long to leave its chain, or half of the time that it has.
 const LEAVE_MOST: Duration = Duration::from_secs(3);
 
@@ -48,7 +50,13 @@
 
 /// What is under way.
 enum Task {
-    Asking { purpose: Purpose, waits_for: BTreeSet<SocketAddr>, answers: Answers },
+    Asking {
+        purpose: Purpose,
+        /// The view in which they were asked.
+        view: u64,
+        waits_for: BTreeSet<SocketAddr>,
+        answers: Answers,
+    },
     Proposing(Proposal),
 }
 
@@ -73,6 +81,8 @@
     look_at: Duration,
     join_at: Duration,
     task: Option<Task>,
+    /// When the task is given up.
+    task_until: Duration,
     /// Counts the tasks.
     number: u64,
     /// Processes that would be members and hold the state.
@@ -92,6 +102,7 @@
             look_at: now,
             join_at: now,
             task: None,
+            task_until: now,
             number: 0,
             joining: Vec::new(),
             leaving: BTreeSet::new(),
@@ -148,6 +159,9 @@
             return;
         }
         self.membership.look_at = now + LOOK_EVERY;
+        if now >= self.membership.task_until {
+            self.membership.task = None;
+        }
         if self.membership.task.is_some() {
             return;
         }
@@ -174,8 +188,9 @@
         }
     }
 
-    fn begin_task(&mut self, task: Task) -> u64 {
+    fn begin_task(&mut self, now: Duration, task: Task) -> u64 {
         self.membership.number += 1;
+        self.membership.task_until = now + TASK_MOST;
         self.membership.task = Some(task);
         self.membership.number
     }
@@ -184,10 +199,10 @@
     fn ask_all(&mut self, now: Duration, purpose: Purpose, addresses: Vec<SocketAddr>) {
         let waits_for: BTreeSet<SocketAddr> =
             addresses.into_iter().filter(|address| *address != self.settings().address).collect();
-        let answers = Answers::new();
-        let task = self.begin_task(Task::Asking { purpose, waits_for: waits_for.clone(), answers });
+        let (view, answers) = (self.chain().replica().view().number, Answers::new());
+        let task = self.begin_task(now, Task::Asking { purpose, view, waits_for: waits_for.clone(), answers });
         if waits_for.is_empty() {
-            self.answered(now, purpose, Answers::new());
+            self.answered(now, purpose, view, Answers::new());
             return;
         }
         for address in waits_for {
@@ -213,7 +228,7 @@
     }
 
     fn take_status(&mut self, now: Duration, address: SocketAddr, reply: Option<CoordinatorReply>) {
-        let Some(Task::Asking { purpose, waits_for, answers }) = &mut self.membership.task else { return };
+        let Some(Task::Asking { purpose, view, waits_for, answers }) = &mut self.membership.task else { return };
         if !waits_for.remove(&address) {
             return;
         }
@@ -221,21 +236,24 @@
             answers.insert(address, status);
         }
         if waits_for.is_empty() {
-            let (purpose, answers) = (*purpose, std::mem::take(answers));
-            self.answered(now, purpose, answers);
+            let (purpose, view, answers) = (*purpose, *view, std::mem::take(answers));
+            self.answered(now, purpose, view, answers);
         }
     }
 
     /// All have answered, or not in time.
-    fn answered(&mut self, now: Duration, purpose: Purpose, answers: Answers) {
+    fn answered(&mut self, now: Duration, purpose: Purpose, asked_in: u64, answers: Answers) {
         self.membership.task = None;
         let newest = answers.values().map(|status| &status.view).max_by_key(|view| view.number);
-        let learnt = newest.is_some_and(|newest| self.learn(newest));
+        if let Some(newest) = newest {
+            self.learn(newest);
+        }
+        let is_over = self.chain().replica().view().number != asked_in;
         match purpose {
             Purpose::Join => self.ask_to_join(),
             Purpose::CatchUp => {}
             // What was to be done was of a view that is over.
-            Purpose::Lead | Purpose::Follow if learnt => {}
+            Purpose::Lead | Purpose::Follow if is_over => {}
             Purpose::Lead => self.lead(now, &answers),
             Purpose::Follow => self.follow(now, &answers),
         }
@@ -319,9 +337,10 @@
             answer_of(member).is_some_and(|status| status.identity == member.identity && !status.leaving)
         };
         // One at a time: each holds everything before the next one votes.
-        members.extend(joining.iter().find(answers_as).cloned());
+        let joiner = joining.iter().filter(|member| !view.contains(member.identity)).find(answers_as);
+        members.extend(joiner.cloned());
         if members != view.members {
-            self.propose(members, answers);
+            self.propose(now, members, answers);
         }
     }
 
@@ -362,11 +381,11 @@
         let Some(own) = view.members.iter().find(|member| member.identity == identity) else { return };
         let others = view.members.iter().filter(|member| member.identity != identity && answering(member));
         let members: Vec<Member> = std::iter::once(own).chain(others).cloned().collect();
-        self.propose(members, answers);
+        self.propose(now, members, answers);
     }
 
     /// Begins to have `members` decided as the next view.
-    fn propose(&mut self, members: Vec<Member>, answers: &Answers) {
+    fn propose(&mut self, now: Duration, members: Vec<Member>, answers: &Answers) {
         let replica = self.chain().replica();
         let (current, own) = (replica.view().clone(), replica.identity());
         let rank = current.index_of(own).unwrap_or(0);
@@ -383,7 +402,7 @@
         let view = View { number: instance, members };
         info!("proposes view {}: {}", view.number, view.addresses());
         let proposal = Proposal::new(current, view, next_ballot(promised, rank), lost);
-        self.begin_task(Task::Proposing(proposal));
+        self.begin_task(now, Task::Proposing(proposal));
         self.membership.silent = silent;
         self.ask_votes();
     }
--- a/system/control-core/src/store.rs
+++ b/system/control-core/src/store.rs
@@ -229,6 +229,14 @@
         }
     }
 
+    /// The input that says that a call had no answer within its time.
+    pub fn no_answer(&self, call: u64) -> Input {
+        match self.calls.get(&call) {
+            Some(CallPurpose::Report { .. }) => Input::CoordinatorReply { call, reply: None },
+            _ => Input::StoreReply { call, reply: None },
+        }
+    }
+
     pub fn chain(&self) -> &BatchChain<S> {
         &self.chain
     }
--- a/system/control-plane/src/coordinator.rs
+++ b/system/control-plane/src/coordinator.rs
@@ -4,8 +4,9 @@
 use crate::disk;
 use crate::platform_list::PlatformList;
 use crate::shell::{self, Clock, Next, LINGER};
-use marblecroft_chain::{Member, View};
+use marblecroft_chain::View;
 use marblecroft_control_core::coordinator::{Coordinator, Input, Output, Settings as CoreSettings};
+use marblecroft_control_core::member;
 use marblecroft_control_core::operator::{Call, Method};
 use marblecroft_control_state::Control;
 use marblecroft_protocol::coordinator::{CoordinatorReply, CoordinatorRequest};
@@ -23,27 +24,8 @@
 
 /// The first view, where this process is one of those that begin it.
 fn founding_view(settings: &Settings) -> Option<(u64, View)> {
-    let own = settings.bind.control_plane?;
-    let founds = settings.bootstrap && settings.seeds.contains(&own);
-    founds.then(|| {
-        let founder = |seed: &SocketAddr| Member {
-            address: coordinator_address(*seed, settings.ephemeral_ports),
-            identity: founder_identity(*seed),
-            node: String::new(),
-        };
-        let members: Vec<Member> = settings.seeds.iter().map(founder).collect();
-        (founder_identity(own), View { number: 1, members })
-    })
-}
-
-/// The identity of a founder: every process works out the same from the seeds, and no other member can have it, as the
-/// others' are drawn with the top bit set.
-fn founder_identity(seed: SocketAddr) -> u64 {
-    let ip = match seed.ip() {
-        IpAddr::V4(ip) => u64::from(u32::from(ip)),
-        IpAddr::V6(_) => 0,
-    };
-    (ip << 16) | u64::from(seed.port())
+    let own = settings.bind.control_plane.filter(|_| settings.bootstrap)?;
+    member::founding_view(own, &settings.seeds, |seed| coordinator_address(seed, settings.ephemeral_ports))
 }
 
 fn core_settings(settings: &Settings, address: SocketAddr) -> CoreSettings {
--- /dev/null
+++ b/system/simulation/src/faults.rs
@@ -0,0 +1,426 @@
+//! Troubles, and plans of them drawn from a seed within what the deployment bears.
+
+use crate::clients::{BatchClient, Client, Gateway, Operator, Runner};
+use crate::world::{Cut, Role, Spec, World};
+use fastrand::Rng;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tracing::info;
+
+/// A machine counts as lost for so long after it is back.
+pub const CATCH_UP: Duration = Duration::from_secs(5);
+/// After the last trouble the cluster serves again within this time.
+pub const RECOVERY: Duration = Duration::from_secs(15);
+
+/// Which machine is struck.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// One of the role, by lot.
+    Any(Role),
+    Head(Role),
+    Tail(Role),
+    Machine(usize),
+}
+
+/// From what a machine is cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CutFrom {
+    /// The machines of its role.
+    Peers,
+    /// All machines.
+    Machines,
+    /// All machines and all clients.
+    Everybody,
+}
+
+/// The ways that are cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ways {
+    Both,
+    In,
+    Out,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    Kill { target: Target, power: bool, back_after: Duration },
+    /// The machine loses its disk, and comes back with an empty one.
+    Wipe { target: Target, back_after: Duration },
+    /// A bit flips in what was synced; the process is restarted.
+    Damage { target: Target },
+    Freeze { target: Target, time: Duration },
+    Thaw { machine: usize },
+    Cut { target: Target, from: CutFrom, ways: Ways, how: Cut, time: Duration },
+    /// Half of a role from the other half.
+    Split { role: Role, time: Duration },
+    Heal { machine: usize },
+    /// SIGTERM; it starts again soon.
+    Terminate { target: Target },
+    /// It is gone for good, and an empty one comes at another address.
+    Replace { target: Target, planned: bool },
+    /// An empty machine comes.
+    Add { role: Role },
+    /// All processes are killed at the same moment, and come back within a second.
+    KillAll { power: bool },
+    /// Some disks are lost while all other machines lose power.
+    WipeAndPowerOff { disks: usize },
+    SlowDisk { target: Target, sync: Duration, time: Duration },
+    RefusingDisk { target: Target, time: Duration },
+    MendDisk { machine: usize },
+    BadNetwork { badness: u32, time: Duration },
+    GoodNetwork,
+}
+
+/// The machine that a target means now.
+fn machine_of(world: &mut World, target: Target) -> Option<usize> {
+    let machine = match target {
+        Target::Any(role) => {
+            let machines = world.machines_of(role);
+            Some(machines[world.rng.usize(0..machines.len())])
+        }
+        Target::Head(role) => world.head_of(role),
+        Target::Tail(role) => world.tail_of(role),
+        Target::Machine(machine) => Some(machine),
+    }?;
+    (!world.machines[machine].gone).then_some(machine)
+}
+
+/// Notes that a machine counts as lost until some time after it is back.
+fn lose(world: &mut World, machine: usize, back_after: Duration) {
+    let until = world.now + back_after + CATCH_UP;
+    let machine = &mut world.machines[machine];
+    machine.lost_until = machine.lost_until.max(until);
+}
+
+/// Whether one more disk may be lost now.
+fn may_lose_disk(world: &World, machine: usize) -> bool {
+    let role = world.machines[machine].role;
+    let lost = world.lost().into_iter().filter(|lost| *lost != machine && world.machines[*lost].role == role);
+    lost.count() < world.spec.tolerated && world.now >= world.machines[machine].lost_until
+}
+
+/// Carries out a fault.
+pub fn strike(world: &mut World, fault: Fault) {
+    match fault {
+        Fault::Thaw { machine } => world.set_frozen(machine, false),
+        Fault::Heal { machine } => world.heal(machine),
+        Fault::MendDisk { machine } => {
+            world.machines[machine].disk.set_refuses(false);
+            world.machines[machine].disk.set_sync_time(Duration::from_millis(2));
+        }
+        Fault::GoodNetwork => world.badness = 0,
+        Fault::BadNetwork { badness, time } => {
+            world.badness = badness;
+            world.fault_at(world.now + time, Fault::GoodNetwork);
+        }
+        Fault::KillAll { power } => kill_all(world, power),
+        Fault::WipeAndPowerOff { disks } => wipe_and_power_off(world, disks),
+        Fault::Split { role, time } => split(world, role, time),
+        Fault::Add { role } => {
+            let machine = world.add_machine(role);
+            lose(world, machine, Duration::ZERO);
+            world.restart(machine, Duration::from_millis(100));
+        }
+        Fault::Kill { target, .. }
+        | Fault::Wipe { target, .. }
+        | Fault::Damage { target }
+        | Fault::Freeze { target, .. }
+        | Fault::Cut { target, .. }
+        | Fault::Terminate { target }
+        | Fault::Replace { target, .. }
+        | Fault::SlowDisk { target, .. }
+        | Fault::RefusingDisk { target, .. } => {
+            if let Some(machine) = machine_of(world, target) {
+                strike_machine(world, machine, fault);
+            }
+        }
+    }
+}
+
+fn strike_machine(world: &mut World, machine: usize, fault: Fault) {
+    match fault {
+        Fault::Kill { power, back_after, .. } => {
+            lose(world, machine, back_after);
+            world.kill(machine, power);
+            world.restart(machine, back_after);
+        }
+        Fault::Wipe { back_after, .. } => {
+            if may_lose_disk(world, machine) {
+                lose(world, machine, back_after);
+                world.kill(machine, true);
+                world.machines[machine].disk.wipe();
+                world.restart(machine, back_after);
+            }
+        }
+        Fault::Damage { .. } => {
+            if may_lose_disk(world, machine) {
+                lose(world, machine, Duration::from_millis(300));
+                world.kill(machine, false);
+                world.machines[machine].disk.damage();
+                world.restart(machine, Duration::from_millis(300));
+            }
+        }
+        Fault::Freeze { time, .. } => {
+            lose(world, machine, time);
+            world.set_frozen(machine, true);
+            world.fault_at(world.now + time, Fault::Thaw { machine });
+        }
+        Fault::Cut { from, ways, how, time, .. } => cut(world, machine, from, ways, how, time),
+        Fault::Terminate { .. } => {
+            lose(world, machine, Duration::from_secs(5));
+            world.terminate(machine);
+            world.restart(machine, Duration::from_millis(4500));
+            // What has not ended by itself is killed.
+            let target = Target::Machine(machine);
+            if world.rng.u32(0..3) == 0 {
+                let back_after = Duration::from_millis(400);
+                let at = world.now + Duration::from_millis(4000);
+                world.fault_at(at, Fault::Kill { target, power: false, back_after });
+            }
+        }
+        Fault::Replace { planned, .. } => replace(world, machine, planned),
+        Fault::SlowDisk { sync, time, .. } => {
+            lose(world, machine, time);
+            world.machines[machine].disk.set_sync_time(sync);
+            world.fault_at(world.now + time, Fault::MendDisk { machine });
+        }
+        Fault::RefusingDisk { time, .. } => {
+            // A process cannot start on a disk that takes nothing.
+            if world.is_running(machine) {
+                lose(world, machine, time);
+                world.machines[machine].disk.set_refuses(true);
+                world.fault_at(world.now + time, Fault::MendDisk { machine });
+            }
+        }
+        _ => {}
+    }
+}
+
+fn cut(world: &mut World, machine: usize, from: CutFrom, ways: Ways, how: Cut, time: Duration) {
+    lose(world, machine, time);
+    let role = world.machines[machine].role;
+    for other in 0..world.machines.len() {
+        if other == machine || (from == CutFrom::Peers && world.machines[other].role != role) {
+            continue;
+        }
+        if ways != Ways::In {
+            world.cut(machine, other, how);
+        }
+        if ways != Ways::Out {
+            world.cut(other, machine, how);
+        }
+    }
+    if from == CutFrom::Everybody {
+        world.cut_from_clients(machine);
+    }
+    world.fault_at(world.now + time, Fault::Heal { machine });
+}
+
+fn split(world: &mut World, role: Role, time: Duration) {
+    let mut machines = world.machines_of(role);
+    world.rng.shuffle(&mut machines);
+    let (left, right) = machines.split_at(machines.len() / 2);
+    for &machine in left {
+        lose(world, machine, time);
+        for &other in right {
+            world.cut(machine, other, Cut::Silent);
+            world.cut(other, machine, Cut::Silent);
+        }
+        world.fault_at(world.now + time, Fault::Heal { machine });
+    }
+}
+
+fn kill_all(world: &mut World, power: bool) {
+    for machine in 0..world.machines.len() {
+        if !world.machines[machine].gone && world.is_running(machine) {
+            let back_after = Duration::from_millis(world.rng.u64(200..1000));
+            lose(world, machine, back_after);
+            world.kill(machine, power);
+            world.restart(machine, back_after);
+        }
+    }
+}
+
+fn wipe_and_power_off(world: &mut World, disks: usize) {
+    let lost = world.lost();
+    let mut left = [disks; 2];
+    let mut machines: Vec<usize> = (0..world.machines.len()).collect();
+    world.rng.shuffle(&mut machines);
+    for machine in machines {
+        if world.machines[machine].gone || !world.is_running(machine) {
+            continue;
+        }
+        let role = world.machines[machine].role;
+        let others_lost = lost.iter().filter(|lost| world.machines[**lost].role == role).count();
+        let left = &mut left[usize::from(role == Role::Store)];
+        let back_after = Duration::from_millis(world.rng.u64(300..3000));
+        lose(world, machine, back_after);
+        world.kill(machine, true);
+        if others_lost == 0 && *left > 0 {
+            *left -= 1;
+            world.machines[machine].disk.wipe();
+        }
+        world.restart(machine, back_after);
+    }
+}
+
+fn replace(world: &mut World, machine: usize, planned: bool) {
+    if !may_lose_disk(world, machine) {
+        return;
+    }
+    let role = world.machines[machine].role;
+    let added = world.add_machine(role);
+    lose(world, added, Duration::from_secs(1));
+    if planned {
+        world.restart(added, Duration::ZERO);
+        world.terminate(machine);
+        let target = Target::Machine(machine);
+        world.fault_at(world.now + Duration::from_secs(8), Fault::Replace { target, planned: false });
+        // The call above adds no other one: the machine is only taken away.
+        world.machines[machine].lost_until = world.now + Duration::from_secs(8);
+    } else {
+        world.kill(machine, true);
+        world.machines[machine].gone = true;
+        world.restart(added, Duration::from_secs(1));
+    }
+}
+
+/// Troubles of one run, at their times.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub faults: Vec<(Duration, Fault)>,
+    /// When the last trouble is over.
+    pub quiet_from: Duration,
+}
+
+fn draw_target(rng: &mut Rng) -> Target {
+    let role = if rng.u32(0..5) < 3 { Role::Coordinator } else { Role::Store };
+    match rng.u32(0..4) {
+        0 => Target::Head(role),
+        1 => Target::Tail(role),
+        _ => Target::Any(role),
+    }
+}
+
+fn draw_role(rng: &mut Rng) -> Role {
+    if rng.bool() {
+        Role::Coordinator
+    } else {
+        Role::Store
+    }
+}
+
+fn seconds(rng: &mut Rng, least: f64, most: f64) -> Duration {
+    Duration::from_secs_f64(least + (most - least) * rng.f64())
+}
+
+fn draw_fault(rng: &mut Rng, spec: &Spec) -> Fault {
+    let target = draw_target(rng);
+    let power = rng.bool();
+    match rng.u32(0..18) {
+        0..=1 => Fault::Kill { target, power, back_after: seconds(rng, 0.1, 6.0) },
+        2..=3 => Fault::Wipe { target, back_after: seconds(rng, 0.1, 4.0) },
+        4 => Fault::Damage { target },
+        5 => Fault::Freeze { target, time: seconds(rng, 0.3, 20.0) },
+        6..=8 => {
+            let from = [CutFrom::Peers, CutFrom::Machines, CutFrom::Everybody][rng.usize(0..3)];
+            let ways = [Ways::Both, Ways::Both, Ways::In, Ways::Out][rng.usize(0..4)];
+            let how = if rng.bool() { Cut::Silent } else { Cut::Reset };
+            Fault::Cut { target, from, ways, how, time: seconds(rng, 1.0, 20.0) }
+        }
+        9 => Fault::Split { role: draw_role(rng), time: seconds(rng, 1.0, 12.0) },
+        10 => Fault::Terminate { target },
+        11 => Fault::Replace { target, planned: false },
+        12 => Fault::KillAll { power },
+        13 => Fault::WipeAndPowerOff { disks: spec.tolerated },
+        14 => Fault::SlowDisk { target, sync: seconds(rng, 0.02, 2.0), time: seconds(rng, 1.0, 8.0) },
+        15 => Fault::RefusingDisk { target, time: seconds(rng, 0.5, 6.0) },
+        16 => Fault::Add { role: draw_role(rng) },
+        _ => Fault::BadNetwork { badness: rng.u32(5..80), time: seconds(rng, 2.0, 15.0) },
+    }
+}
+
+/// Longest time that a fault lasts.
+const FAULT_MOST: Duration = Duration::from_secs(21);
+
+impl Plan {
+    /// Draws the troubles of a seed: some alone, some in pairs at the same moment, some shortly behind each other.
+    pub fn draw(spec: &Spec) -> Plan {
+        let mut rng = Rng::with_seed(spec.seed ^ 0x5bd1_e995);
+        let mut faults = Vec::new();
+        let mut at = seconds(&mut rng, 4.0, 8.0);
+        let last = Duration::from_secs(40);
+        while at < last {
+            faults.push((at, draw_fault(&mut rng, spec)));
+            at += match rng.u32(0..4) {
+                0 => Duration::ZERO,
+                1 => seconds(&mut rng, 0.0, 1.5),
+                2 => seconds(&mut rng, 0.5, 6.0),
+                _ => seconds(&mut rng, 4.0, 12.0),
+            };
+        }
+        Plan { faults, quiet_from: last + FAULT_MOST + CATCH_UP }
+    }
+}
+
+/// What a run has found.
+#[derive(Clone, Debug, Default)]
+pub struct Verdict {
+    pub found: Vec<String>,
+    pub trace: u64,
+    /// What was asked and answered.
+    pub counts: BTreeMap<&'static str, u64>,
+}
+
+/// Adds the clients that every run has.
+pub fn add_clients(world: &mut World, change_pause: u64) {
+    for name in 0..2 {
+        world.add_client(Client::Operator(Operator::new(name, change_pause)));
+    }
+    for number in 0..3 {
+        world.add_client(Client::Gateway(Gateway::new(number)));
+    }
+    world.add_client(Client::Batch(BatchClient::new(200)));
+    for number in 0..2 {
+        world.add_client(Client::Runner(Runner::new(format!("gateway-{number}"))));
+    }
+}
+
+/// Runs a cluster through a plan and until it must serve again.
+pub fn run(spec: Spec, plan: &Plan) -> Verdict {
+    let mut world = World::new(spec);
+    add_clients(&mut world, 700);
+    for (at, fault) in &plan.faults {
+        world.fault_at(*at, *fault);
+    }
+    world.run_until(plan.quiet_from + RECOVERY);
+    finish(&mut world);
+    world.describe().into_iter().for_each(|line| info!("{line}"));
+    verdict(&world)
+}
+
+/// Checks that a cluster without trouble serves: changes, readings, pulls and jobs go on, and enough copies are there.
+pub fn finish(world: &mut World) {
+    const SERVED: [&str; 4] = ["acknowledged", "read", "pulled", "results read"];
+    let before = SERVED.map(|what| world.judge.count_of(what));
+    let until = world.now + Duration::from_secs(8);
+    world.run_until(until);
+    for (what, before) in SERVED.into_iter().zip(before) {
+        if !world.judge.has_found() && world.judge.count_of(what) == before {
+            world.judge.report(format!("no longer served: {what}"));
+        }
+    }
+    let newest = world.judge.newest_acknowledged(world.now);
+    let (holders, copies) = (world.holders(newest), world.spec.tolerated + 1);
+    if !world.judge.has_found() && holders < copies {
+        world.judge.report(format!("{holders} copies of {newest}, {copies} are asked for"));
+    }
+}
+
+pub fn verdict(world: &World) -> Verdict {
+    Verdict {
+        found: world.judge.found().to_vec(),
+        trace: world.trace,
+        counts: world.judge.counts.clone(),
+    }
+}
--- /dev/null
+++ b/system/simulation/src/judge.rs
@@ -0,0 +1,285 @@
+//! Checks the history of what was asked and answered. It shares no code with the program.
+//!
+//! Generations only rise, so the newest of two configurations is the one of the higher generation, and the configuration
+//! must behave as one register: whoever asks after an acknowledgement sees that generation or a higher one.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// An order of an operator's.
+#[derive(Clone, Debug)]
+pub struct Order {
+    pub base: u64,
+    pub generation: u64,
+    pub body: String,
+    pub acknowledged_at: Option<Duration>,
+    pub refused: bool,
+}
+
+/// A batch job as its client sees it.
+#[derive(Clone, Debug, Default)]
+struct Job {
+    tokens: Vec<u64>,
+    accepted: bool,
+    /// Whether an attempt had no final answer.
+    unclear: bool,
+    refused: bool,
+    ended: bool,
+    finished: BTreeSet<usize>,
+    confirmed: BTreeSet<usize>,
+    /// Texts that runs of each item have made.
+    texts: BTreeMap<String, BTreeSet<String>>,
+    listed: Vec<(String, String)>,
+}
+
+/// The history, as far as checks need it.
+#[derive(Default)]
+pub struct Judge {
+    found: Vec<String>,
+    orders: Vec<Order>,
+    /// The highest generation that a reading has shown, and when its answer came.
+    read: Vec<(Duration, u64)>,
+    jobs: BTreeMap<String, Job>,
+    lists: BTreeMap<usize, String>,
+    gateways: BTreeMap<usize, u64>,
+    pub counts: BTreeMap<&'static str, u64>,
+}
+
+impl Judge {
+    /// What is wrong.
+    pub fn found(&self) -> &[String] {
+        &self.found
+    }
+
+    pub fn has_found(&self) -> bool {
+        !self.found.is_empty()
+    }
+
+    pub fn report(&mut self, what: String) {
+        self.found.push(what);
+    }
+
+    fn count(&mut self, what: &'static str) {
+        *self.counts.entry(what).or_default() += 1;
+    }
+
+    pub fn count_of(&self, what: &str) -> u64 {
+        self.counts.get(what).copied().unwrap_or(0)
+    }
+
+    /// An operator is about to send an order; its number.
+    pub fn add_order(&mut self, base: u64, generation: u64, body: String) -> usize {
+        self.orders.push(Order { base, generation, body, acknowledged_at: None, refused: false });
+        self.orders.len() - 1
+    }
+
+    pub fn order(&self, number: usize) -> &Order {
+        &self.orders[number]
+    }
+
+    pub fn acknowledged_orders(&self) -> Vec<usize> {
+        (0..self.orders.len()).filter(|number| self.orders[*number].acknowledged_at.is_some()).collect()
+    }
+
+    /// The newest generation that was acknowledged by a time.
+    pub fn newest_acknowledged(&self, by: Duration) -> u64 {
+        let acknowledged = |order: &&Order| order.acknowledged_at.is_some_and(|at| at <= by);
+        self.orders.iter().filter(acknowledged).map(|order| order.generation).max().unwrap_or(0)
+    }
+
+    pub fn order_answered(&mut self, now: Duration, number: usize, status: u16) {
+        let before = self.orders[number].clone();
+        match status {
+            200 => {
+                self.count("acknowledged");
+                if before.refused {
+                    self.report(format!("acknowledged after a refusal: {before:?}"));
+                }
+                let clashes = |other: &Order| {
+                    let same = other.generation == before.generation || other.base == before.base;
+                    other.acknowledged_at.is_some() && same && other.body != before.body
+                };
+                if let Some(other) = self.orders.iter().find(|other| clashes(other)) {
+                    self.report(format!("two are acknowledged: {before:?} and {other:?}"));
+                }
+                self.orders[number].acknowledged_at.get_or_insert(now);
+            }
+            400..=499 => {
+                self.count("refused");
+                if before.acknowledged_at.is_some() {
+                    self.report(format!("refused with {status} after it was acknowledged: {before:?}"));
+                }
+                self.orders[number].refused = true;
+            }
+            _ => self.count("unclear"),
+        }
+    }
+
+    fn check_in_force(&mut self, body: &str, what: &str) -> Option<u64> {
+        let order = self.orders.iter().find(|order| order.body == body).cloned();
+        match order {
+            None => {
+                self.report(format!("{what}: nobody has sent {body}"));
+                None
+            }
+            Some(order) if order.refused => {
+                self.report(format!("{what}: in force though refused: {order:?}"));
+                None
+            }
+            Some(order) => Some(order.generation),
+        }
+    }
+
+    /// The configuration was read.
+    pub fn read(&mut self, sent: Duration, now: Duration, body: &str) {
+        self.count("read");
+        let Some(generation) = self.check_in_force(body, "read") else { return };
+        let newest = self.newest_acknowledged(sent);
+        if generation < newest {
+            self.report(format!("read {generation}, sent at {sent:?} when {newest} was acknowledged"));
+        }
+        let seen = self.read.iter().filter(|read| read.0 <= sent).map(|read| read.1).max().unwrap_or(0);
+        if generation < seen {
+            self.report(format!("read {generation} after {seen} was read"));
+        }
+        self.read.push((now, generation));
+    }
+
+    /// A gateway's question was answered by a coordinator in touch; it has this configuration now.
+    pub fn pulled(&mut self, gateway: usize, sent: Duration, body: Option<&str>) {
+        self.count("pulled");
+        let generation = match body {
+            Some(body) => self.check_in_force(body, "pulled").unwrap_or(u64::MAX),
+            None => 0,
+        };
+        let newest = self.newest_acknowledged(sent);
+        if generation < newest {
+            self.report(format!("pulled {generation}, sent at {sent:?} when {newest} was acknowledged"));
+        }
+        let before = self.gateways.insert(gateway, generation).unwrap_or(0);
+        if generation < before {
+            self.report(format!("gateway {gateway} goes back from {before} to {generation}"));
+        }
+    }
+
+    /// A gateway takes a list of servers that was read at this time.
+    pub fn list_taken(&mut self, gateway: usize, read_at: &str) {
+        let before = self.lists.insert(gateway, read_at.to_owned()).unwrap_or_default();
+        if *read_at < *before {
+            self.report(format!("gateway {gateway} takes a list of {read_at} after one of {before}"));
+        }
+    }
+
+    /// Tokens that wait at the least, or at the most as far as clients can tell.
+    fn waiting(&self, at_most: bool) -> u64 {
+        let counts = |job: &&Job| {
+            !job.ended && (job.accepted || (at_most && job.unclear))
+        };
+        let tokens = |job: &Job| {
+            let done = if at_most { &job.confirmed } else { &job.finished };
+            let left = job.tokens.iter().enumerate().filter(|(item, _)| !done.contains(item));
+            left.map(|(_, tokens)| tokens).sum::<u64>()
+        };
+        self.jobs.values().filter(counts).map(tokens).sum()
+    }
+
+    /// A job is sent; the most tokens that may wait beside it at this moment.
+    pub fn job_sent(&mut self, job: &str, tokens: &[u64]) -> u64 {
+        let known = self.jobs.entry(job.to_owned()).or_default();
+        known.tokens = tokens.to_vec();
+        let unclear = std::mem::replace(&mut known.unclear, false);
+        let most = self.waiting(true);
+        if let Some(known) = self.jobs.get_mut(job) {
+            known.unclear = unclear;
+        }
+        most
+    }
+
+    pub fn job_accepted(&mut self, job: &str, quota: u64) {
+        self.count("jobs accepted");
+        if let Some(known) = self.jobs.get_mut(job) {
+            known.accepted = true;
+        }
+        let waiting = self.waiting(false);
+        if waiting > quota {
+            self.report(format!("{waiting} tokens wait at the acceptance of {job}, {quota} may"));
+        }
+    }
+
+    pub fn job_refused(&mut self, job: &str, most_before: u64, quota: u64) {
+        self.count("jobs refused");
+        let Some(known) = self.jobs.get_mut(job) else { return };
+        let tokens: u64 = known.tokens.iter().sum();
+        let (accepted, unclear) = (known.accepted, known.unclear);
+        known.refused = !unclear;
+        if accepted {
+            self.report(format!("job {job} was accepted, and is refused"));
+        }
+        if !unclear && most_before + tokens <= quota {
+            self.report(format!("job {job} of {tokens} is refused beside {most_before} of {quota}"));
+        }
+    }
+
+    pub fn job_unclear(&mut self, job: &str) {
+        if let Some(known) = self.jobs.get_mut(job) {
+            known.unclear = true;
+        }
+    }
+
+    /// An item is given to a gateway, which runs it and makes this text.
+    pub fn item_run(&mut self, job: &str, item: usize, id: &str, text: &str) {
+        self.count("items run");
+        let Some(known) = self.jobs.get_mut(job) else {
+            self.report(format!("an item of {job}, which nobody has sent"));
+            return;
+        };
+        known.finished.insert(item);
+        known.texts.entry(id.to_owned()).or_default().insert(text.to_owned());
+        if known.refused && !known.accepted {
+            self.report(format!("an item of {job} runs, which was refused"));
+        }
+    }
+
+    /// The stores have said that a result is recorded.
+    pub fn item_confirmed(&mut self, job: &str, item: usize) {
+        if let Some(known) = self.jobs.get_mut(job) {
+            known.confirmed.insert(item);
+        }
+    }
+
+    pub fn results_read(&mut self, job: &str, start: usize, results: &[(String, String)]) {
+        self.count("results read");
+        let Some(known) = self.jobs.get_mut(job) else { return };
+        let mut wrong = None;
+        for (at, result) in results.iter().enumerate() {
+            match known.listed.get(start + at) {
+                Some(before) if before != result => wrong = Some(format!("{before:?} became {result:?}")),
+                Some(_) => {}
+                None if start + at == known.listed.len() => {
+                    let twice = known.listed.iter().any(|listed| listed.0 == result.0);
+                    let made = known.texts.get(&result.0).is_some_and(|texts| texts.contains(&result.1));
+                    if twice || !made {
+                        wrong = Some(format!("{result:?} stands twice, or no run has made it"));
+                    }
+                    known.listed.push(result.clone());
+                }
+                None => {}
+            }
+        }
+        if let Some(wrong) = wrong {
+            self.report(format!("job {job}: {wrong}"));
+        }
+    }
+
+    pub fn job_not_found(&mut self, job: &str) {
+        if self.jobs.get(job).is_some_and(|known| known.accepted) {
+            self.report(format!("job {job} was accepted, and is not found"));
+        }
+    }
+
+    /// The jobs that were accepted, and how many of their results were seen.
+    pub fn accepted_jobs(&self) -> Vec<(String, usize)> {
+        let accepted = self.jobs.iter().filter(|(_, job)| job.accepted);
+        accepted.map(|(id, job)| (id.clone(), job.listed.len())).collect()
+    }
+}
--- /dev/null
+++ b/system/simulation/src/main.rs
@@ -0,0 +1,105 @@
+//! Searches seeds for broken rules: `marblecroft-simulation search`, and plays one again: `marblecroft-simulation replay`.
+
+use marblecroft_simulation::faults::{self, Plan};
+use marblecroft_simulation::Spec;
+use std::collections::BTreeMap;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+use std::time::Instant;
+
+xflags::xflags! {
+    /// Clusters of coordinators and stores on virtual networks, disks and clocks.
+    cmd marblecroft-simulation {
+        /// Plays seeds, and prints how many a second and which of them break a rule.
+        cmd search {
+            /// The first seed (1).
+            optional --from from: u64
+            /// How many seeds (1000).
+            optional --seeds seeds: u64
+            /// Coordinators (3).
+            optional --coordinators coordinators: usize
+            /// Stores (4).
+            optional --stores stores: usize
+            /// Machines with a disk that may be lost at once (1).
+            optional --tolerated tolerated: usize
+            /// Threads (4).
+            optional --threads threads: usize
+        }
+        /// Plays one seed and prints what happens.
+        cmd replay {
+            required --seed seed: u64
+            optional --coordinators coordinators: usize
+            optional --stores stores: usize
+            optional --tolerated tolerated: usize
+        }
+    }
+}
+
+fn search(from: u64, seeds: u64, spec: Spec, threads: usize) -> ExitCode {
+    let (next, failed) = (AtomicU64::new(from), Mutex::new(Vec::new()));
+    let counts = Mutex::new(BTreeMap::<&str, u64>::new());
+    let begun = Instant::now();
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed >= from + seeds {
+                    return;
+                }
+                let spec = Spec { seed, ..spec };
+                let verdict = faults::run(spec, &Plan::draw(&spec));
+                if let Ok(mut counts) = counts.lock() {
+                    verdict.counts.iter().for_each(|(what, count)| *counts.entry(what).or_default() += count);
+                }
+                if let Some(first) = verdict.found.first() {
+                    println!("seed {seed}: {first}");
+                    if let Ok(mut failed) = failed.lock() {
+                        failed.push(seed);
+                    }
+                }
+            });
+        }
+    });
+    println!("{:?}", counts.into_inner().unwrap_or_default());
+    let failed = failed.into_inner().unwrap_or_default();
+    let a_second = seeds as f64 / begun.elapsed().as_secs_f64();
+    println!(
+        "{} coordinators, {} stores, {} tolerated: {seeds} seeds from {from}, {a_second:.1} a second, {} failed",
+        spec.coordinators,
+        spec.stores,
+        spec.tolerated,
+        failed.len()
+    );
+    if failed.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+fn main() -> ExitCode {
+    let spec = |seed, coordinators: Option<usize>, stores: Option<usize>, tolerated: Option<usize>| Spec {
+        seed,
+        coordinators: coordinators.unwrap_or(3),
+        stores: stores.unwrap_or(4),
+        tolerated: tolerated.unwrap_or(1),
+    };
+    match MarblecroftSimulation::from_env_or_exit().subcommand {
+        MarblecroftSimulationCmd::Search(s) => {
+            let spec = spec(0, s.coordinators, s.stores, s.tolerated);
+            search(s.from.unwrap_or(1), s.seeds.unwrap_or(1000), spec, s.threads.unwrap_or(4))
+        }
+        MarblecroftSimulationCmd::Replay(r) => {
+            mapledeck_events::begin("simulation", mapledeck_events::Log::default());
+            let spec = spec(r.seed, r.coordinators, r.stores, r.tolerated);
+            let verdict = faults::run(spec, &Plan::draw(&spec));
+            verdict.found.iter().for_each(|found| println!("FOUND {found}"));
+            if verdict.found.is_empty() {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            }
+        }
+    }
+}
