Let voters outlast the chain, and leave nobody out for whom too few copies would be left

Cause: who holds the state and who votes were one list.

Change: views name their voters beside their members. A voter that does not answer goes only where 2f + 1 others are left; one whose machine is back with another disk votes as that one. Neither chain is cut to fewer complete members than the copies there must be while left-out disks may be sound, for 20 s. A new head waits 2.5 s for the first report of each store. Whoever is behind is told the view, a task is given up after 3 s.

--- a/system/chain/src/agreement.rs
+++ b/system/chain/src/agreement.rs
@@ -1,9 +1,9 @@
-//! Agreement on the view that follows: single-decree consensus (Paxos) for each view number, among the members of the view
-//! before. What a member promises or accepts is on its disk before it answers.
+//! Agreement on the view that follows: single-decree consensus (Paxos) for each view number, among the voters of the view
+//! before. What a voter promises or accepts is on its disk before it answers.
 //!
-//! A decision needs a majority of the members. A member whose disk is known to be lost never votes again; where the lost
-//! ones are fewer than a majority, all members that are left are enough too: whatever a majority decided, one of them has
-//! accepted it, and any two such sets share a member.
+//! A decision needs a majority of the voters. A voter whose disk is known to be lost never votes again; where the lost ones
+//! are fewer than a majority, all voters that are left are enough too: whatever a majority decided, one of them has accepted
+//! it, and any two such sets share a voter.
 
 use crate::replica::{Replica, StateMachine};
 use crate::storage::{Accepted, Storage, Vote};
@@ -15,7 +15,7 @@
 /// Ballots of one round, of which each member has its own.
 const BALLOTS_A_ROUND: u64 = 64;
 
-/// Asks a member for its vote on the view `instance`.
+/// Asks a voter for its vote on the view `instance`.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum VoteRequest {
     /// Promise to take part in no lower ballot.
@@ -26,7 +26,7 @@
     Decided { view: View },
 }
 
-/// A member's answer.
+/// A voter's answer.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum VoteReply {
     /// Promised; what was accepted before.
@@ -36,7 +36,7 @@
     Outbid(u64),
     /// The view is decided already, or the member knows of another number; this is the newest that it knows.
     Known(View),
-    /// The member's disk refused, or it is not a member.
+    /// The voter's disk refused, or it is no voter.
     Unable,
 }
 
@@ -59,7 +59,7 @@
         if instance != self.view().number + 1 {
             return Ok(VoteReply::Known(self.view().clone()));
         }
-        if !self.view().contains(self.identity()) {
+        if !self.view().has_voter(self.identity()) {
             return Ok(VoteReply::Unable);
         }
         let mut vote = self.vote().clone();
@@ -98,7 +98,7 @@
 pub enum Step {
     /// Wait for further answers.
     Wait,
-    /// Ask all members the next request.
+    /// Ask all voters the next request.
     Ask,
     Ended(Outcome),
 }
@@ -122,7 +122,7 @@
     current: View,
     view: View,
     ballot: u64,
-    /// Members whose disk is known to be lost.
+    /// Voters whose disk is known to be lost.
     lost: BTreeSet<u64>,
     phase: Phase,
     granted: BTreeSet<u64>,
@@ -147,7 +147,7 @@
         }
     }
 
-    /// The view whose members vote.
+    /// The view whose voters are asked.
     pub fn current(&self) -> &View {
         &self.current
     }
@@ -156,7 +156,7 @@
         self.phase
     }
 
-    /// What the members are asked in this phase.
+    /// What the voters are asked in this phase.
     pub fn request(&self) -> VoteRequest {
         let (instance, ballot) = (self.current.number + 1, self.ballot);
         match self.phase {
@@ -165,9 +165,9 @@
         }
     }
 
-    /// Takes a member's answer, or that there is none.
+    /// Takes a voter's answer, or that there is none.
     pub fn note(&mut self, phase: Phase, identity: u64, reply: Option<VoteReply>) -> Step {
-        if phase != self.phase || !self.current.contains(identity) || !self.answered.insert(identity) {
+        if phase != self.phase || !self.current.has_voter(identity) || !self.answered.insert(identity) {
             return Step::Wait;
         }
         match (phase, reply) {
@@ -188,7 +188,7 @@
         if self.is_granted() {
             return self.advance();
         }
-        if self.answered.len() == self.current.members.len() {
+        if self.answered.len() == self.current.voters.len() {
             return Step::Ended(Outcome::Undecided { outbid: self.outbid });
         }
         Step::Wait
@@ -196,7 +196,7 @@
 
     fn is_granted(&self) -> bool {
         let (majority, lost) = (self.current.majority(), self.lost.len());
-        let all_left = self.granted.union(&self.lost).count() == self.current.members.len();
+        let all_left = self.granted.union(&self.lost).count() == self.current.voters.len();
         self.granted.len() >= majority || (lost > 0 && lost < majority && all_left)
     }
 
--- a/system/chain/src/view.rs
+++ b/system/chain/src/view.rs
@@ -18,8 +18,11 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct View {
     pub number: u64,
-    /// The head first, the tail last.
+    /// The head first, the tail last. Everything that is acknowledged is on all their disks.
     pub members: Vec<Member>,
+    /// Who decides on the next view, by majority: the members, and others that may be behind or out of reach. Losing members
+    /// for a while changes the chain, and not who votes. Empty where somebody else decides.
+    pub voters: Vec<Member>,
 }
 
 impl View {
@@ -50,8 +53,13 @@
         addresses.join(" ")
     }
 
-    /// Members that are more than half.
+    /// Whether this identity votes on the next view.
+    pub fn has_voter(&self, identity: u64) -> bool {
+        self.voters.iter().any(|voter| voter.identity == identity)
+    }
+
+    /// Voters that are more than half.
     pub fn majority(&self) -> usize {
-        self.members.len() / 2 + 1
+        self.voters.len() / 2 + 1
     }
 }
--- a/system/control-core/src/coordinator.rs
+++ b/system/control-core/src/coordinator.rs
@@ -3,7 +3,7 @@
 use crate::list_reader::{ListReader, Step};
 use crate::membership::{Membership, TaskCall};
 use crate::operator::{self, Caller, Pending};
-use crate::store_views::{Sizes, StoreViews, SILENT};
+use crate::store_views::{Sizes, StoreViews, FIND_HEAD};
 use crate::{Node, Time};
 use marblecroft_chain::storage::Storage;
 use marblecroft_chain::{
@@ -35,8 +35,6 @@
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// Time for an operation of this process's own.
 const OWN_TIME: Duration = Duration::from_secs(2);
-/// A head has heard from all stores in touch after this time: they report several times in it, wherever they looked first.
-const STORES_HEARD: Duration = Duration::from_millis(2000);
 
 /// The chain of the coordinators.
 pub type ControlChain<S> = Chain<Control, S>;
@@ -195,13 +193,14 @@
 
     /// Whether this process leads, and has done so for long enough to have heard from all stores in touch.
     pub(crate) fn knows_stores(&self, now: Duration) -> bool {
-        self.leads_since.is_some_and(|since| now >= since + STORES_HEARD)
+        self.leads_since.is_some_and(|since| now >= since + FIND_HEAD)
     }
 
     /// Where coordinators may be called, without this one.
     pub(crate) fn others(&self) -> Vec<SocketAddr> {
         let mut others = self.known.clone();
         others.extend(self.coordinators());
+        others.extend(self.chain.replica().view().voters.iter().map(|voter| voter.address));
         others.sort_unstable();
         others.dedup();
         others.retain(|address| *address != self.settings.address);
@@ -215,7 +214,7 @@
     /// Takes notice of a view, and of where its members are found.
     pub(crate) fn learn(&mut self, view: &View) -> bool {
         let learnt = self.chain.learn(view);
-        for address in view.members.iter().map(|member| member.address) {
+        for address in view.members.iter().chain(&view.voters).map(|member| member.address) {
             if !self.known.contains(&address) {
                 self.known.push(address);
             }
@@ -444,22 +443,20 @@
     /// Does what is due as the head in touch: names the stores' views, and reads the platform's list.
     fn lead_others(&mut self, now: Duration) {
         if !self.chain.is_head() || !self.is_fresh(now) {
-            if self.leads_since.take().is_some() {
-                self.store_views.forget();
-            }
+            self.leads_since = None;
             self.reader.stop();
             return;
         }
-        let since = *self.leads_since.get_or_insert(now);
+        if self.leads_since.is_none() {
+            self.leads_since = Some(now);
+            self.store_views.begin(now);
+        }
         if self.settings.reads_list {
             self.step_reader(now);
         }
         if now >= self.look_at {
             self.look_at = now + LOOK_EVERY;
-            // Stores need a moment to find a new head.
-            if now >= since + SILENT {
-                self.look_at_stores(now);
-            }
+            self.look_at_stores(now);
         }
     }
 
@@ -489,7 +486,7 @@
             self.submit_own(now, Operation::KnowStore { node }, Waiting::Own);
         }
         if let Some(members) = next {
-            let view = View { number: current.number + 1, members };
+            let view = View { number: current.number + 1, members, voters: Vec::new() };
             info!("names view {} of the stores: {}", view.number, view.addresses());
             self.submit_own(now, Operation::StoreView(view), Waiting::Own);
         }
@@ -537,6 +534,7 @@
         if !self.chain.is_head() {
             return CoordinatorReply::NotHead(self.chain.head_address());
         }
+        self.membership.note_heard(self.handled_at, member.identity);
         if self.chain.replica().view().contains(member.identity) {
             return CoordinatorReply::Noted;
         }
--- a/system/control-core/src/member.rs
+++ b/system/control-core/src/member.rs
@@ -33,7 +33,9 @@
         node: String::new(),
     };
     let members: Vec<Member> = seeds.iter().map(founder).collect();
-    seeds.contains(&own).then(|| (founder_identity(own), View { number: 1, members }))
+    seeds
+        .contains(&own)
+        .then(|| (founder_identity(own), View { number: 1, voters: members.clone(), members }))
 }
 
 /// Opens what was found on a disk; where there is nothing the member begins with an empty state, under the founding view or
--- a/system/control-core/src/membership.rs
+++ b/system/control-core/src/membership.rs
@@ -1,6 +1,10 @@
 //! Who is in the coordinators' chain: a process that is not asks to join, members that fail are left out by agreement, and
 //! one that is told to end leaves first.
 //!
+//! Who holds the state and who votes are two things. A member that fails leaves the chain, as every acknowledgement waits
+//! for all members, and goes on voting: so that another loss leaves a majority. A voter that does not answer goes only where
+//! 2f + 1 others are left, so it stays until another one has come in its place.
+//!
 //! A process under way with one [`Task`] begins no other, and gives it up after [`TASK_MOST`].
 
 use crate::coordinator::Coordinator;
@@ -27,6 +31,10 @@
 const STATUS_TIME: Duration = Duration::from_millis(400);
 /// Time for a vote, which goes to a disk.
 const VOTE_TIME: Duration = Duration::from_millis(800);
+/// A voter that is no member and has not been heard of for so long is left out, if enough others are left.
+const VOTER_AWAY: Duration = Duration::from_millis(1500);
+/// How long members that are out of reach are waited for, where the others are too few copies.
+pub const WAIT_FOR_COPIES: Duration = Duration::from_secs(20);
 /// A task is given up after this time, which is more than all of its calls may take.
 const TASK_MOST: Duration = Duration::from_secs(3);
 /// A process that is told to end tries so long to leave its chain, or half of the time that it has.
@@ -89,6 +97,10 @@
     joining: Vec<Member>,
     /// Members that have asked to be left out.
     leaving: BTreeSet<u64>,
+    /// Voters that are no members, and when they were last heard of by this head.
+    away: BTreeMap<u64, Duration>,
+    /// The view in which members out of reach are waited for, and since when.
+    waits_since: Option<(u64, Duration)>,
     /// Members that did not answer before a proposal, and are not asked for their votes.
     silent: BTreeSet<u64>,
     /// When the process ends whether it has left or not, once it was told to.
@@ -106,11 +118,20 @@
             number: 0,
             joining: Vec::new(),
             leaving: BTreeSet::new(),
+            away: BTreeMap::new(),
+            waits_since: None,
             silent: BTreeSet::new(),
             ends_at: None,
         }
     }
 
+    /// A process that is no member was heard of.
+    pub(crate) fn note_heard(&mut self, now: Duration, identity: u64) {
+        if let Some(heard) = self.away.get_mut(&identity) {
+            *heard = now;
+        }
+    }
+
     pub(crate) fn note_joining(&mut self, member: Member) {
         self.joining.retain(|other| other.address != member.address);
         self.joining.push(member);
@@ -200,7 +221,8 @@
         let waits_for: BTreeSet<SocketAddr> =
             addresses.into_iter().filter(|address| *address != self.settings().address).collect();
         let (view, answers) = (self.chain().replica().view().number, Answers::new());
-        let task = self.begin_task(now, Task::Asking { purpose, view, waits_for: waits_for.clone(), answers });
+        let task =
+            self.begin_task(now, Task::Asking { purpose, view, waits_for: waits_for.clone(), answers });
         if waits_for.is_empty() {
             self.answered(now, purpose, view, Answers::new());
             return;
@@ -228,7 +250,9 @@
     }
 
     fn take_status(&mut self, now: Duration, address: SocketAddr, reply: Option<CoordinatorReply>) {
-        let Some(Task::Asking { purpose, view, waits_for, answers }) = &mut self.membership.task else { return };
+        let Some(Task::Asking { purpose, view, waits_for, answers }) = &mut self.membership.task else {
+            return;
+        };
         if !waits_for.remove(&address) {
             return;
         }
@@ -248,7 +272,15 @@
         if let Some(newest) = newest {
             self.learn(newest);
         }
-        let is_over = self.chain().replica().view().number != asked_in;
+        let view = self.chain().replica().view().clone();
+        let is_over = view.number != asked_in;
+        for (address, status) in &answers {
+            if status.view.number < view.number && view.voters.iter().any(|voter| voter.address == *address) {
+                // Whoever is behind can't vote on what follows.
+                let request = CoordinatorRequest::Vote(VoteRequest::Decided { view: view.clone() });
+                self.tell(*address, request, STATUS_TIME);
+            }
+        }
         match purpose {
             Purpose::Join => self.ask_to_join(),
             Purpose::CatchUp => {}
@@ -280,16 +312,24 @@
     fn begin_lead(&mut self, now: Duration) {
         let status = self.chain().status(now);
         let view = status.view;
+        let tolerated = self.settings().tolerated_machines;
         let membership = &mut self.membership;
         membership.joining.retain(|member| !view.contains(member.identity));
         membership.leaving.retain(|identity| view.contains(*identity));
+        let away = std::mem::take(&mut membership.away);
+        let absent = view.voters.iter().filter(|voter| !view.contains(voter.identity));
+        membership.away =
+            absent.map(|voter| (voter.identity, away.get(&voter.identity).copied().unwrap_or(now))).collect();
+        let spare = view.voters.len() > 2 * tolerated + 1;
+        let gone = spare && membership.away.values().any(|heard| now >= *heard + VOTER_AWAY);
         let suspects = view.members.iter().any(|member| Some(member.address) == status.suspect);
-        let changes = suspects || !membership.joining.is_empty() || !membership.leaving.is_empty();
+        let changes = suspects || gone || !membership.joining.is_empty() || !membership.leaving.is_empty();
         if !changes && membership.ends_at.is_none() {
             return;
         }
         let joining = membership.joining.iter().map(|member| member.address);
-        let asked = view.members.iter().map(|member| member.address).chain(joining).collect();
+        let asked =
+            view.members.iter().chain(&view.voters).map(|member| member.address).chain(joining).collect();
         self.ask_all(now, Purpose::Lead, asked);
     }
 
@@ -339,15 +379,76 @@
         // One at a time: each holds everything before the next one votes.
         let joiner = joining.iter().filter(|member| !view.contains(member.identity)).find(answers_as);
         members.extend(joiner.cloned());
-        if members != view.members {
-            self.propose(now, members, answers);
+        let voters = self.next_voters(&view, &members, answers);
+        if (members != view.members || voters != view.voters)
+            && self.keeps_copies(now, &view, &members, answers)
+        {
+            self.propose(now, members, voters, answers);
+        }
+    }
+
+    /// Who votes after `view`, where these are to be the members. Of the others those go that are lost, do not answer or leave,
+    /// as long as 2f + 1 are left.
+    fn next_voters(&self, view: &View, members: &[Member], answers: &Answers) -> Vec<Member> {
+        let least = 2 * self.settings().tolerated_machines + 1;
+        let mut voters = view.voters.clone();
+        voters.extend(members.iter().filter(|member| !view.has_voter(member.identity)).cloned());
+        let holds = |voter: &Member| members.iter().any(|member| member.identity == voter.identity);
+        let answer_of = |voter: &Member| answers.get(&voter.address);
+        let is_lost =
+            |voter: &Member| answer_of(voter).is_some_and(|status| status.identity != voter.identity);
+        let is_back = |voter: &Member| {
+            let identity = answer_of(voter).map(|status| status.identity);
+            is_lost(voter) && members.iter().any(|member| Some(member.identity) == identity)
+        };
+        // Its machine votes as another one.
+        voters.retain(|voter| !is_back(voter));
+        let is_silent = |voter: &Member| answer_of(voter).is_none();
+        let leaves = |voter: &Member| answer_of(voter).is_some_and(|status| status.leaving);
+        let reasons: [&dyn Fn(&Member) -> bool; 3] = [&is_lost, &is_silent, &leaves];
+        for goes in reasons {
+            while voters.len() > least {
+                let Some(at) = voters.iter().position(|voter| !holds(voter) && goes(voter)) else { break };
+                voters.remove(at);
+            }
         }
+        voters
+    }
+
+    /// Whether enough of the next members hold everything, where members are left out whose disks may be there: only those
+    /// that were complete can head the view after. With fewer than the copies that there must be, it is better to wait for
+    /// those that are out of reach; for a while, as they may be gone for good.
+    fn keeps_copies(&mut self, now: Duration, view: &View, members: &[Member], answers: &Answers) -> bool {
+        let own = self.chain().replica().identity();
+        let answer_of = |member: &Member| answers.get(&member.address);
+        let is_complete = |member: &&Member| {
+            let holds = |status: &Status| {
+                status.identity == member.identity && status.complete && status.view.number == view.number
+            };
+            member.identity == own || answer_of(member).is_some_and(holds)
+        };
+        let stays = |member: &Member| members.iter().any(|other| other.identity == member.identity);
+        let is_lost =
+            |member: &Member| answer_of(member).is_some_and(|status| status.identity != member.identity);
+        let leaves_out = view.members.iter().any(|member| !stays(member) && !is_lost(member));
+        let holders = members.iter().filter(is_complete).count();
+        if !leaves_out || holders > self.settings().tolerated_machines {
+            self.membership.waits_since = None;
+            return true;
+        }
+        let since = *self.membership.waits_since.get_or_insert((view.number, now));
+        if since.0 != view.number {
+            self.membership.waits_since = Some((view.number, now));
+            return false;
+        }
+        now >= since.1 + WAIT_FOR_COPIES
     }
 
     fn begin_follow(&mut self, now: Duration) {
         let status = self.chain().status(now);
         if self.silence(now) >= self.patience() {
-            let others = status.view.members.iter().map(|member| member.address).collect();
+            let others = status.view.members.iter().chain(&status.view.voters);
+            let others = others.map(|member| member.address).collect();
             self.ask_all(now, Purpose::Follow, others);
         }
     }
@@ -381,25 +482,28 @@
         let Some(own) = view.members.iter().find(|member| member.identity == identity) else { return };
         let others = view.members.iter().filter(|member| member.identity != identity && answering(member));
         let members: Vec<Member> = std::iter::once(own).chain(others).cloned().collect();
-        self.propose(now, members, answers);
+        let voters = self.next_voters(&view, &members, answers);
+        if self.keeps_copies(now, &view, &members, answers) {
+            self.propose(now, members, voters, answers);
+        }
     }
 
     /// Begins to have `members` decided as the next view.
-    fn propose(&mut self, now: Duration, members: Vec<Member>, answers: &Answers) {
+    fn propose(&mut self, now: Duration, members: Vec<Member>, voters: Vec<Member>, answers: &Answers) {
         let replica = self.chain().replica();
         let (current, own) = (replica.view().clone(), replica.identity());
-        let rank = current.index_of(own).unwrap_or(0);
+        let rank = current.voters.iter().position(|voter| voter.identity == own).unwrap_or(0);
         let instance = current.number + 1;
         let promised = if replica.vote().instance == instance { replica.vote().promised } else { 0 };
         let answer_of = |member: &Member| answers.get(&member.address).map(|status| status.identity);
         // The machine answers, and its disk is another one.
         let is_lost =
             |member: &&Member| answer_of(member).is_some_and(|identity| identity != member.identity);
-        let lost = current.members.iter().filter(is_lost).map(|member| member.identity).collect();
+        let lost = current.voters.iter().filter(is_lost).map(|member| member.identity).collect();
         let silent = |member: &&Member| member.identity != own && answer_of(member) != Some(member.identity);
         let silent: BTreeSet<u64> =
-            current.members.iter().filter(silent).map(|member| member.identity).collect();
-        let view = View { number: instance, members };
+            current.voters.iter().filter(silent).map(|member| member.identity).collect();
+        let view = View { number: instance, members, voters };
         info!("proposes view {}: {}", view.number, view.addresses());
         let proposal = Proposal::new(current, view, next_ballot(promised, rank), lost);
         self.begin_task(now, Task::Proposing(proposal));
@@ -411,7 +515,7 @@
     fn ask_votes(&mut self) {
         let Some(Task::Proposing(proposal)) = &self.membership.task else { return };
         let (request, phase) = (proposal.request(), proposal.phase());
-        let members = proposal.current().members.clone();
+        let voters = proposal.current().voters.clone();
         let own = self.chain().replica().identity();
         let reply = self.chain_mut().with_replica(|replica| replica.answer_vote(&request));
         let granted = matches!(reply, VoteReply::Promised(_) | VoteReply::Accepted);
@@ -422,7 +526,7 @@
         }
         let task = self.membership.number;
         self.take_vote(phase, own, Some(reply));
-        for member in members.iter().filter(|member| member.identity != own) {
+        for member in voters.iter().filter(|voter| voter.identity != own) {
             let under_way = self.membership.number == task
                 && matches!(&self.membership.task, Some(Task::Proposing(p)) if p.phase() == phase);
             if !under_way {
@@ -470,7 +574,7 @@
     /// Tells everyone concerned of a view that was decided. Whoever does not hear it learns it from the next message of the
     /// chain.
     fn tell_decided(&mut self, before: &View, view: &View) {
-        let members = before.members.iter().chain(&view.members);
+        let members = before.members.iter().chain(&before.voters).chain(&view.members).chain(&view.voters);
         let mut addresses: BTreeSet<SocketAddr> = members.map(|member| member.address).collect();
         addresses.remove(&self.settings().address);
         for address in addresses {
--- a/system/control-core/src/store_views.rs
+++ b/system/control-core/src/store_views.rs
@@ -1,14 +1,17 @@
 //! Which stores form the chain that keeps batch jobs. The coordinators decide it: every view of the stores' chain is an
 //! operation of their own chain, and is headed by a store that was complete in the view before.
 
+use crate::membership::WAIT_FOR_COPIES;
 use marblecroft_chain::{Member, View};
 use marblecroft_protocol::coordinator::StoreReport;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// A store that has not reported for so long has failed. Stores need as long to find a new head.
-pub const SILENT: Duration = Duration::from_millis(900);
+/// A store that has not reported for so long has failed.
+const SILENT: Duration = Duration::from_millis(900);
+/// Stores find a new head within this time, wherever they look first; until then none that it has not heard from has failed.
+pub const FIND_HEAD: Duration = Duration::from_millis(2500);
 /// The first view waits for so long after the first report, so that all stores can be in it.
 const FOUNDING_WAIT: Duration = Duration::from_millis(1500);
 /// A store may join when it is at most so many entries behind.
@@ -34,6 +37,10 @@
 pub struct StoreViews {
     seen: BTreeMap<SocketAddr, Seen>,
     first: Option<Duration>,
+    /// Since when stores may report to this process.
+    since: Duration,
+    /// The view in which members out of reach are waited for, and since when.
+    waits_since: Option<(u64, Duration)>,
     /// The store that is to join next, and the member whose state it fetches ahead.
     joining: Option<(SocketAddr, SocketAddr)>,
 }
@@ -52,9 +59,20 @@
         self.seen.insert(report.address, Seen { report, at: now });
     }
 
-    /// Forgets what was reported: another process was the head meanwhile.
-    pub fn forget(&mut self) {
-        *self = StoreViews::default();
+    /// Begins anew at `now`: another process was the head meanwhile.
+    pub fn begin(&mut self, now: Duration) {
+        *self = StoreViews { since: now, ..StoreViews::default() };
+    }
+
+    /// Whether a member may still be about to report for the first time.
+    fn may_come(&self, now: Duration, member: &Member) -> bool {
+        now < self.since + FIND_HEAD && !self.seen.contains_key(&member.address)
+    }
+
+    /// Whether the disk of a member is known to be lost: its machine reports with another identity.
+    fn is_lost(&self, now: Duration, member: &Member) -> bool {
+        self.living(now)
+            .any(|report| report.address == member.address && report.status.identity != member.identity)
     }
 
     fn living(&self, now: Duration) -> impl Iterator<Item = &StoreReport> {
@@ -114,7 +132,10 @@
         let goes = |member: &Member| {
             retired(&member.node) || self.report_of(now, member).is_some_and(|report| report.status.leaving)
         };
-        let (mut going, staying): (Vec<&Member>, Vec<&Member>) = works.into_iter().partition(|m| goes(m));
+        let goers: BTreeSet<u64> =
+            current.members.iter().filter(|member| goes(member)).map(|member| member.identity).collect();
+        let (mut going, staying): (Vec<&Member>, Vec<&Member>) =
+            works.into_iter().partition(|member| goers.contains(&member.identity));
         let (mut members, waiting): (Vec<Member>, Vec<Member>) =
             staying.into_iter().cloned().partition(|member| is_complete(member));
         going.retain(|member| is_complete(member));
@@ -122,11 +143,17 @@
             // Who is to go holds what too few others hold, and stays until they do.
             members.extend(going.into_iter().cloned());
         }
+        if current.members.iter().any(|member| self.may_come(now, member)) {
+            return None;
+        }
         let lost = current.members.len() - members.len() - waiting.len();
         if current.number > 0 && members.is_empty() {
             // Nobody is left who holds everything; one may come back.
             return None;
         }
+        if !self.keeps_copies(now, current, &members, sizes, retired) {
+            return None;
+        }
         if lost > 0 && members.len() >= sizes.copies {
             // Those who hold everything go on at once; others join them one after the other.
             return Some(members);
@@ -134,7 +161,7 @@
         let enough = members.len() >= sizes.copies;
         let whole = waiting.is_empty();
         members.extend(waiting);
-        let going = members.iter().filter(|member| goes(member)).count();
+        let going = members.iter().filter(|member| goers.contains(&member.identity)).count();
         self.joining = None;
         if whole && members.len() < sizes.wanted + going {
             if enough {
@@ -151,6 +178,32 @@
         (lost > 0 || joined).then_some(members)
     }
 
+    /// Whether enough of the members hold everything, where some are left out whose disks may be there: only those that were
+    /// complete can head the view after. With fewer it is better to wait for those that are out of reach; for a while, as
+    /// they may be gone for good.
+    fn keeps_copies(
+        &mut self,
+        now: Duration,
+        current: &View,
+        complete: &[Member],
+        sizes: Sizes,
+        retired: &impl Fn(&str) -> bool,
+    ) -> bool {
+        let reports = |member: &Member| self.report_of(now, member).is_some();
+        let out_of_reach = current
+            .members
+            .iter()
+            .any(|member| !reports(member) && !self.is_lost(now, member) && !retired(&member.node));
+        if !out_of_reach || complete.len() >= sizes.copies {
+            self.waits_since = None;
+            return true;
+        }
+        let since =
+            self.waits_since.filter(|since| since.0 == current.number).unwrap_or((current.number, now));
+        self.waits_since = Some(since);
+        now >= since.1 + WAIT_FOR_COPIES
+    }
+
     /// The members that report and that no other member suspects.
     fn working<'a>(&self, now: Duration, current: &'a View) -> Vec<&'a Member> {
         let suspects: BTreeSet<SocketAddr> = current
