--- a/system/simulation/src/faults.rs
+++ b/system/simulation/src/faults.rs
@@ -332,8 +332,10 @@
 fn replace(world: &mut World, machine: usize, planned: bool) {
     let role = world.machines[machine].role;
     let lost = world.lost().into_iter().filter(|lost| world.machines[*lost].role == role).count();
-    // Machines that never come back must leave a majority of the voters.
-    let leaves_majority = role == Role::Store || 2 * (lost + 1) < world.spec.coordinators;
+    // Machines that never come back must leave a majority of the voters, which takes 2f + 1 of them.
+    let (coordinators, tolerated) = (world.spec.coordinators, world.spec.tolerated);
+    let leaves_majority =
+        role == Role::Store || (coordinators > 2 * tolerated && 2 * (lost + 1) < coordinators);
     if !may_lose_disk(world, machine) || !leaves_majority {
         return;
     }
@@ -412,6 +414,11 @@
 const FAULT_MOST: Duration = Duration::from_secs(21);
 
 impl Plan {
+    /// These troubles, the last of which is over at a time.
+    pub fn of(faults: Vec<(Duration, Fault)>, quiet_from: Duration) -> Plan {
+        Plan { faults, quiet_from }
+    }
+
     /// Draws the troubles of a seed: some alone, some in pairs at the same moment, some shortly behind each other.
     pub fn draw(spec: &Spec) -> Plan {
         let mut rng = Rng::with_seed(spec.seed ^ 0x5bd1_e995);
@@ -454,10 +461,18 @@
     }
 }
 
+/// Longest pause of an operator between two errands, in milliseconds.
+const CHANGE_PAUSE: u64 = 700;
+
 /// Runs a cluster through a plan and until it must serve again.
 pub fn run(spec: Spec, plan: &Plan) -> Verdict {
+    run_with(spec, plan, CHANGE_PAUSE)
+}
+
+/// The same with operators that pause for so many milliseconds at most.
+pub fn run_with(spec: Spec, plan: &Plan, change_pause: u64) -> Verdict {
     let mut world = World::new(spec);
-    add_clients(&mut world, 700);
+    add_clients(&mut world, change_pause);
     for (at, fault) in &plan.faults {
         world.fault_at(*at, *fault);
     }
--- /dev/null
+++ b/system/simulation/tests/common/mod.rs
@@ -0,0 +1,54 @@
+//! What the scenarios share.
+
+use marblecroft_simulation::faults::{self, Fault, Plan, Verdict, CATCH_UP};
+use marblecroft_simulation::Spec;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+pub fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+/// A scenario by its name.
+pub struct Scenario {
+    pub name: String,
+    pub spec: Spec,
+    pub plan: Plan,
+    pub change_pause: u64,
+}
+
+impl Scenario {
+    /// Troubles at their times, in seconds; the last one is over at `quiet_from`.
+    pub fn new(name: String, spec: Spec, faults: Vec<(f64, Fault)>, quiet_from: f64) -> Scenario {
+        let faults = faults.into_iter().map(|(at, fault)| (seconds(at), fault)).collect();
+        let plan = Plan::of(faults, seconds(quiet_from) + CATCH_UP);
+        Scenario { name, spec, plan, change_pause: 300 }
+    }
+
+    pub fn run(&self) -> Verdict {
+        faults::run_with(self.spec, &self.plan, self.change_pause)
+    }
+}
+
+/// Plays all of them, and tells each that has found something.
+pub fn play_all(scenarios: Vec<Scenario>) {
+    assert!(!scenarios.is_empty());
+    let (left, found) = (Mutex::new(scenarios), Mutex::new(Vec::new()));
+    let next = || left.lock().expect("no panic").pop();
+    thread::scope(|scope| {
+        for _ in 0..thread::available_parallelism().map_or(4, usize::from).min(8) {
+            scope.spawn(|| {
+                while let Some(scenario) = next() {
+                    let verdict = scenario.run();
+                    if let Some(first) = verdict.found.first() {
+                        let line = format!("{} ({:?}): {first}", scenario.name, scenario.spec);
+                        found.lock().expect("no panic").push(line);
+                    }
+                }
+            });
+        }
+    });
+    let found = found.into_inner().expect("no panic");
+    assert!(found.is_empty(), "{} scenarios:\n{}", found.len(), found.join("\n"));
+}
--- /dev/null
+++ b/system/simulation/tests/cut_off.rs
@@ -0,0 +1,89 @@
+//! Point 1: a control machine is cut off for twenty seconds while changes go on, alone, twice, and while another is replaced.
+//! It neither hands out an old configuration, nor refuses, nor confirms.
+
+#[allow(dead_code)]
+mod common;
+
+use common::{play_all, seconds, Scenario};
+use marblecroft_simulation::faults::{CutFrom, Fault, Target, Ways};
+use marblecroft_simulation::world::{Cut, Role};
+use marblecroft_simulation::Spec;
+
+const CUT_FOR: f64 = 20.0;
+const TARGETS: [Target; 5] = [
+    Target::Head(Role::Coordinator),
+    Target::Tail(Role::Coordinator),
+    Target::Machine(1),
+    Target::Head(Role::Store),
+    Target::Tail(Role::Store),
+];
+
+fn spec(seed: u64) -> Spec {
+    Spec { seed, coordinators: 4, stores: 4, tolerated: 1 }
+}
+
+fn cut(target: Target, from: CutFrom, ways: Ways, how: Cut) -> Fault {
+    Fault::Cut { target, from, ways, how, time: seconds(CUT_FOR) }
+}
+
+/// Every place, from everything, each way, silent and reset.
+fn all_cuts() -> Vec<Fault> {
+    let mut cuts = Vec::new();
+    for target in TARGETS {
+        for from in [CutFrom::Peers, CutFrom::Machines, CutFrom::Everybody] {
+            for ways in [Ways::Both, Ways::In, Ways::Out] {
+                cuts.extend([Cut::Silent, Cut::Reset].map(|how| cut(target, from, ways, how)));
+            }
+        }
+    }
+    cuts
+}
+
+#[test]
+fn a_machine_that_is_cut_off_says_nothing_old() {
+    let scenario = |(number, fault): (usize, Fault)| {
+        Scenario::new(format!("{fault:?}"), spec(number as u64), vec![(6.0, fault)], 6.0 + CUT_FOR)
+    };
+    play_all(all_cuts().into_iter().enumerate().map(scenario).collect());
+}
+
+#[test]
+fn the_same_place_is_cut_off_twice() {
+    let scenario = |(number, fault): (usize, Fault)| {
+        let faults = vec![(6.0, fault), (6.0 + CUT_FOR + 1.0, fault)];
+        Scenario::new(format!("twice {fault:?}"), spec(100 + number as u64), faults, 7.0 + 2.0 * CUT_FOR)
+    };
+    play_all(all_cuts().into_iter().step_by(4).enumerate().map(scenario).collect());
+}
+
+#[test]
+fn a_machine_is_cut_off_while_another_is_replaced_or_joins() {
+    let mut scenarios = Vec::new();
+    for (number, fault) in all_cuts().into_iter().step_by(3).enumerate() {
+        let target = Target::Tail(Role::Coordinator);
+        for (other, at) in [
+            (Fault::Replace { target, planned: false }, 5.0),
+            (Fault::Add { role: Role::Coordinator }, 6.2),
+            (Fault::Terminate { target }, 5.9),
+        ] {
+            let faults = vec![(at, other), (6.0, fault)];
+            let name = format!("{other:?} and {fault:?}");
+            scenarios.push(Scenario::new(name, spec(200 + number as u64), faults, 8.0 + CUT_FOR));
+        }
+    }
+    play_all(scenarios);
+}
+
+#[test]
+fn a_machine_stands_still_and_answers_as_if_no_time_had_passed() {
+    let mut scenarios = Vec::new();
+    for (number, target) in TARGETS.into_iter().enumerate() {
+        for (step, time) in [0.4, 0.9, 1.6, 3.0, 8.0, 20.0].into_iter().enumerate() {
+            let fault = Fault::Freeze { target, time: seconds(time) };
+            let faults = vec![(6.0, fault), (6.5 + time, fault)];
+            let seed = 300 + (number * 10 + step) as u64;
+            scenarios.push(Scenario::new(format!("twice {fault:?}"), spec(seed), faults, 7.0 + 2.0 * time));
+        }
+    }
+    play_all(scenarios);
+}
--- /dev/null
+++ b/system/simulation/tests/many_changes.rs
@@ -0,0 +1,53 @@
+//! Point 4: a thousand changes, with members away for stretches of them, restarted, damaged, and so far behind that only the
+//! whole state helps; segments turn over every few hundred records.
+
+#[allow(dead_code)]
+mod common;
+
+use common::{play_all, seconds, Scenario};
+use marblecroft_simulation::faults::{CutFrom, Fault, Target, Ways};
+use marblecroft_simulation::world::{Cut, Role};
+use marblecroft_simulation::Spec;
+
+#[test]
+fn a_thousand_changes_with_members_away_for_any_stretch_of_them() {
+    let mut scenarios = Vec::new();
+    for (number, away) in [0.5, 2.0, 6.0, 15.0, 30.0].into_iter().enumerate() {
+        let target = Target::Machine(number % 3);
+        for (case, fault) in [
+            Fault::Kill { target, power: true, back_after: seconds(away) },
+            Fault::Freeze { target, time: seconds(away) },
+            Fault::Cut {
+                target,
+                from: CutFrom::Machines,
+                ways: Ways::Both,
+                how: Cut::Silent,
+                time: seconds(away),
+            },
+        ]
+        .into_iter()
+        .enumerate()
+        {
+            let spec = Spec { seed: (number * 10 + case) as u64, coordinators: 3, stores: 3, tolerated: 1 };
+            let damage = Fault::Damage { target: Target::Tail(Role::Coordinator) };
+            let wipe = Fault::Wipe { target: Target::Head(Role::Coordinator), back_after: seconds(0.2) };
+            let later = 8.0 + away + 8.0;
+            let faults = vec![(8.0, fault), (later, damage), (later + 8.0, wipe)];
+            let mut scenario = Scenario::new(format!("{fault:?}"), spec, faults, later + 10.0);
+            scenario.change_pause = 15;
+            scenarios.push(scenario);
+        }
+    }
+    play_all(scenarios);
+}
+
+#[test]
+fn the_changes_are_a_thousand() {
+    let spec = Spec { seed: 5, coordinators: 3, stores: 3, tolerated: 1 };
+    let mut scenario = Scenario::new("calm".to_owned(), spec, Vec::new(), 100.0);
+    scenario.change_pause = 15;
+    let verdict = scenario.run();
+    assert_eq!(verdict.found, Vec::<String>::new());
+    let acknowledged = verdict.counts["acknowledged"];
+    assert!(acknowledged >= 1000, "{acknowledged}");
+}
--- /dev/null
+++ b/system/simulation/tests/orders.rs
@@ -0,0 +1,71 @@
+//! Point 2: two operators under one number, and orders that are sent again after a lost answer. The operators of every run
+//! choose the same numbers, and send acknowledged orders again to any coordinator; here whoever holds a confirmation is
+//! struck at the moment at which changes are under way.
+
+#[allow(dead_code)]
+mod common;
+
+use common::{play_all, seconds, Scenario};
+use marblecroft_chain::StateMachine;
+use marblecroft_control_state::{Control, Operation, Output, REMEMBERED_MOST};
+use marblecroft_simulation::faults::{CutFrom, Fault, Target, Ways};
+use marblecroft_simulation::world::{Cut, Role};
+use marblecroft_simulation::Spec;
+use marblecroft_wire::Bytes;
+
+#[test]
+fn whoever_holds_a_confirmation_is_struck_and_the_order_sent_again() {
+    let head = Target::Head(Role::Coordinator);
+    let tail = Target::Tail(Role::Coordinator);
+    let cut = |target, ways| Fault::Cut {
+        target,
+        from: CutFrom::Everybody,
+        ways,
+        how: Cut::Silent,
+        time: seconds(6.0),
+    };
+    let strikes = [
+        Fault::Kill { target: head, power: false, back_after: seconds(0.3) },
+        Fault::Kill { target: head, power: true, back_after: seconds(4.0) },
+        Fault::Wipe { target: head, back_after: seconds(0.3) },
+        Fault::Wipe { target: tail, back_after: seconds(0.3) },
+        Fault::Terminate { target: head },
+        cut(head, Ways::Out),
+        cut(head, Ways::In),
+        cut(tail, Ways::Out),
+        Fault::KillAll { power: true },
+    ];
+    let mut scenarios = Vec::new();
+    for (number, strike) in strikes.into_iter().enumerate() {
+        for step in 0..6u32 {
+            let spec = Spec { seed: (number * 10) as u64 + u64::from(step), coordinators: 3, stores: 3, tolerated: 1 };
+            // At ever other moments of the changes that are under way.
+            let at = 6.0 + 0.0037 * f64::from(step);
+            let faults = vec![(at, strike), (at + 14.0, strike)];
+            let mut scenario = Scenario::new(format!("{strike:?}"), spec, faults, 28.0);
+            scenario.change_pause = 60;
+            scenarios.push(scenario);
+        }
+    }
+    play_all(scenarios);
+}
+
+#[test]
+fn behind_what_is_remembered_an_order_is_neither_confirmed_nor_refused() {
+    let mut control = Control::default();
+    let body = |generation: u64| Bytes(format!("body {generation}").into_bytes());
+    let replace = |base, generation| Operation::Replace { base, generation, body: body(generation) };
+    let most = REMEMBERED_MOST as u64;
+    for generation in 1..=most + 5 {
+        assert_eq!(control.apply(replace(generation - 1, generation)), Output::Taken);
+    }
+    assert_eq!(control.apply(replace(5, 6)), Output::Taken, "remembered");
+    for generation in 1..=5 {
+        assert_eq!(control.apply(replace(generation - 1, generation)), Output::Forgotten);
+    }
+    let restored = Control::restore(&control.snapshot()).expect("a snapshot");
+    assert_eq!(restored, control);
+    // What a coordinator keeps for each order: a digest of 32 bytes, a number and their lengths.
+    let size = control.snapshot().len();
+    assert!(size < REMEMBERED_MOST * 64, "{size} bytes");
+}
--- /dev/null
+++ b/system/simulation/tests/seeds.rs
@@ -0,0 +1,36 @@
+//! A bounded part of the search; `marblecroft-simulation search` does the rest. A seed replays exactly.
+
+#[allow(dead_code)]
+mod common;
+
+use common::{play_all, Scenario};
+use marblecroft_simulation::faults::{self, Plan};
+use marblecroft_simulation::Spec;
+
+/// Seeds of each size.
+const SEEDS: u64 = 24;
+/// Coordinators, stores and tolerated machines.
+const SIZES: [(usize, usize, usize); 5] = [(3, 4, 1), (4, 5, 1), (4, 6, 2), (5, 6, 2), (9, 8, 2)];
+
+#[test]
+fn seeds_of_every_size_break_no_rule() {
+    let mut scenarios = Vec::new();
+    for (coordinators, stores, tolerated) in SIZES {
+        for seed in 1..=SEEDS {
+            let spec = Spec { seed, coordinators, stores, tolerated };
+            let plan = Plan::draw(&spec);
+            scenarios.push(Scenario { name: format!("seed {seed}"), spec, plan, change_pause: 700 });
+        }
+    }
+    play_all(scenarios);
+}
+
+#[test]
+fn a_seed_replays_exactly() {
+    let spec = Spec { seed: 77, coordinators: 4, stores: 4, tolerated: 1 };
+    let plan = Plan::draw(&spec);
+    let (first, again) = (faults::run(spec, &plan), faults::run(spec, &plan));
+    assert_eq!((first.trace, first.counts), (again.trace, again.counts));
+    let other = Spec { seed: 78, ..spec };
+    assert_ne!(first.trace, faults::run(other, &Plan::draw(&other)).trace);
+}
