--- a/system/wire/src/call.rs
+++ b/system/wire/src/call.rs
@@ -66,9 +66,17 @@
     pub callee: SocketAddr,
 }
 
+/// Which way a message goes, so that an echo of a question is no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum Direction {
+    Question,
+    Answer,
+}
+
 /// A message with the name of its call. The answer repeats the name.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Envelope {
+    pub direction: Direction,
     pub name: CallName,
     pub message: Bytes,
 }
@@ -140,7 +148,7 @@
             service: self.service,
             callee: to,
         };
-        let envelope = Envelope { name, message: Bytes(encode(request)) };
+        let envelope = Envelope { direction: Direction::Question, name, message: Bytes(encode(request)) };
         let agent = self.agent.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let post = agent.post(format!("http://{to}{PATH}")).config().timeout_global(Some(within)).build();
         let sent = post.send(&encode(&envelope)[..]);
@@ -159,7 +167,8 @@
 /// The message of an answer; `None` where it is not the answer to this call.
 fn read_answer<R: Message>(name: &CallName, body: &[u8]) -> Option<R> {
     let envelope: Envelope = decode(body).ok()?;
-    (envelope.name == *name).then(|| decode(&envelope.message.0).ok())?
+    let is_answer = envelope.direction == Direction::Answer && envelope.name == *name;
+    is_answer.then(|| decode(&envelope.message.0).ok())?
 }
 
 /// Answers calls to this service on `listener`, each on a thread of its own, until the process ends. Calls for another
@@ -178,14 +187,15 @@
             Err(e) => return Reply::text(400, &e.to_string()),
         };
         let name = envelope.name;
-        if name.callee != own || name.service != service {
+        if envelope.direction != Direction::Question || name.callee != own || name.service != service {
             return Reply::text(MISDIRECTED, "this call is for another process");
         }
         match decode(&envelope.message.0) {
             Ok(message) => match handler(message) {
                 Some(reply) => {
                     let message = Bytes(encode(&reply));
-                    Reply::bytes(200, encode(&Envelope { name, message }))
+                    let answer = Envelope { direction: Direction::Answer, name, message };
+                    Reply::bytes(200, encode(&answer))
                 }
                 None => Reply::text(500, "no answer in time"),
             },
