--- a/system/simulation/src/lib.rs
+++ b/system/simulation/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 
 pub mod clients;
+pub mod days;
 pub mod disk;
 pub mod faults;
 pub mod judge;
--- a/system/simulation/src/main.rs
+++ b/system/simulation/src/main.rs
@@ -1,12 +1,16 @@
 //! Searches seeds for broken rules: `marblecroft-simulation search`, and plays one again: `marblecroft-simulation replay`.
 
+use marblecroft_simulation::days::{day, troubles, Model};
 use marblecroft_simulation::faults::{self, Plan};
 use marblecroft_simulation::Spec;
 use std::collections::BTreeMap;
+use std::io::Write;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 use std::time::Instant;
+use std::{fs, io};
 
 xflags::xflags! {
     /// Clusters of coordinators and stores on virtual networks, disks and clocks.
@@ -26,6 +30,19 @@
             /// Threads (4).
             optional --threads threads: usize
         }
+        /// Writes days for the bench, one file each, and prints what strikes in them.
+        cmd days {
+            /// The site file whose first day gives traffic and marks.
+            required --site site: PathBuf
+            /// The folder that they are written to.
+            required --out out: PathBuf
+            /// The first day (0).
+            optional --from from: usize
+            /// How many (as many as there are kinds and variants).
+            optional --days days: usize
+            /// The seed (1).
+            optional --seed seed: u64
+        }
         /// Plays one seed and prints what happens.
         cmd replay {
             required --seed seed: u64
@@ -78,6 +95,19 @@
     }
 }
 
+fn write_days(site: &Path, out: &Path, from: usize, days: usize, seed: u64) -> io::Result<()> {
+    let model = Model::read(&fs::read_to_string(site)?);
+    let model =
+        model.ok_or_else(|| io::Error::new(io::ErrorKind::InvalidData, "the site file has no day"))?;
+    fs::create_dir_all(out)?;
+    for number in from..from + days {
+        let (text, told) = day(&model, number, seed);
+        fs::write(out.join(format!("{number:03}.toml")), text)?;
+        writeln!(io::stdout(), "{number:03} {told}")?;
+    }
+    Ok(())
+}
+
 fn main() -> ExitCode {
     let spec = |seed, coordinators: Option<usize>, stores: Option<usize>, tolerated: Option<usize>| Spec {
         seed,
@@ -90,6 +120,16 @@
             let spec = spec(0, s.coordinators, s.stores, s.tolerated);
             search(s.from.unwrap_or(1), s.seeds.unwrap_or(1000), spec, s.threads.unwrap_or(4))
         }
+        MarblecroftSimulationCmd::Days(d) => {
+            let (from, days) = (d.from.unwrap_or(0), d.days.unwrap_or_else(troubles));
+            match write_days(&d.site, &d.out, from, days, d.seed.unwrap_or(1)) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(e) => {
+                    eprintln!("marblecroft-simulation: {}: {e}", d.site.display());
+                    ExitCode::FAILURE
+                }
+            }
+        }
         MarblecroftSimulationCmd::Replay(r) => {
             mapledeck_events::begin("simulation", mapledeck_events::Log::default());
             let spec = spec(r.seed, r.coordinators, r.stores, r.tolerated);
--- a/system/simulation/tests/cut_off.rs
+++ b/system/simulation/tests/cut_off.rs
@@ -87,3 +87,29 @@
     }
     play_all(scenarios);
 }
+
+#[test]
+fn what_waited_for_a_machine_that_stood_still_gives_it_no_lease() {
+    let mut scenarios = Vec::new();
+    for machine in 0..4 {
+        for (step, time) in [1.2, 3.0, 8.0, 20.0].into_iter().enumerate() {
+            // It wakes cut off from its peers: what it hears first is what was sent to it long ago.
+            let target = Target::Machine(machine);
+            let freeze = Fault::Freeze { target, time: seconds(time) };
+            let alone = Fault::Cut {
+                target,
+                from: CutFrom::Peers,
+                ways: Ways::Both,
+                how: Cut::Silent,
+                time: seconds(4.0),
+            };
+            let faults = vec![(6.0, freeze), (5.9 + time, alone)];
+            let seed = 400 + (machine * 10 + step) as u64;
+            let mut scenario =
+                Scenario::new(format!("{freeze:?}, {alone:?}"), spec(seed), faults, 11.0 + time);
+            scenario.change_pause = 60;
+            scenarios.push(scenario);
+        }
+    }
+    play_all(scenarios);
+}
--- a/system/simulation/tests/orders.rs
+++ b/system/simulation/tests/orders.rs
@@ -38,7 +38,12 @@
     let mut scenarios = Vec::new();
     for (number, strike) in strikes.into_iter().enumerate() {
         for step in 0..6u32 {
-            let spec = Spec { seed: (number * 10) as u64 + u64::from(step), coordinators: 3, stores: 3, tolerated: 1 };
+            let spec = Spec {
+                seed: (number * 10) as u64 + u64::from(step),
+                coordinators: 3,
+                stores: 3,
+                tolerated: 1,
+            };
             // At ever other moments of the changes that are under way.
             let at = 6.0 + 0.0037 * f64::from(step);
             let faults = vec![(at, strike), (at + 14.0, strike)];
--- a/system/wire/tests/calls.rs
+++ b/system/wire/tests/calls.rs
@@ -111,7 +111,9 @@
             Behaviour::OtherNumber => {
                 whole_answer(&reply_to(CallName { number: name.number + 1, ..name }, "another one"))
             }
-            Behaviour::OtherCallee => whole_answer(&reply_to(CallName { callee: other, ..name }, "elsewhere")),
+            Behaviour::OtherCallee => {
+                whole_answer(&reply_to(CallName { callee: other, ..name }, "elsewhere"))
+            }
             Behaviour::Garbage => whole_answer(b"no envelope"),
             Behaviour::TwoAnswers => {
                 let mut both = whole_answer(&reply_to(name, "right"));
