--- a/system/chain/src/chain.rs
+++ b/system/chain/src/chain.rs
@@ -43,8 +43,10 @@
     pub member_time: Duration,
     /// Time for sending a whole state.
     pub install_time: Duration,
-    /// Members that an operation must be on before it is acknowledged.
+    /// Disks that an operation must be on before it is acknowledged.
     pub copies: usize,
+    /// Whether this member's storage outlives its process.
+    pub is_durable: bool,
     /// A member that fails its part for so long is suspected. Longer than any lease: see [`Chain::lease_since`].
     pub suspect_after: Duration,
 }
@@ -126,6 +128,15 @@
     upstream: Vec<Token>,
 }
 
+/// What the members from one on are known to hold.
+struct Held {
+    /// When the round was begun at this member.
+    begun: Duration,
+    position: Position,
+    /// Disks that hold it, of the members that follow.
+    copies_behind: usize,
+}
+
 /// Where a round failed.
 enum Failure {
     At(SocketAddr),
@@ -459,7 +470,8 @@
         let followed = self.replica.successor().map(|(member, left)| (member.clone(), left));
         self.calls += 1;
         let Some((successor, left)) = followed else {
-            self.complete(now, now, position, readings, upstream, out);
+            let held = Held { begun: now, position, copies_behind: 0 };
+            self.complete(now, held, readings, upstream, out);
             return;
         };
         let from = self.positions.get(&successor.identity).copied().unwrap_or(position);
@@ -496,30 +508,39 @@
         out.push(Output::Call { call: self.calls, to: successor, message, within });
     }
 
-    /// The whole chain from here on holds `position`.
+    /// The whole chain from here on holds a position.
     fn complete(
         &mut self,
         now: Duration,
-        begun: Duration,
-        position: Position,
+        held: Held,
         readings: Vec<Reading>,
         upstream: Vec<Token>,
         out: &mut Vec<Output<M::Output>>,
     ) {
-        self.replica.settle(position);
+        let copies = held.copies_behind + usize::from(self.options.is_durable);
+        self.replica.settle(held.position);
         self.failing = None;
         self.heard_at = Some(now);
         if self.is_head() {
             self.round.confirmed = self.round.number;
-            self.lease_since = Some(begun);
+            self.lease_since = Some(held.begun);
             self.healthy_at = Some(now);
         } else if self.forwarded.is_healthy() {
             self.healthy_at = Some(now);
         }
-        out.extend(upstream.into_iter().map(|token| Output::Reply { token, reply: AppendReply::Held }));
-        while let Some(ordered) = self.ordered.pop_front_if(|ordered| ordered.index <= position.index) {
+        out.extend(
+            upstream.into_iter().map(|token| Output::Reply { token, reply: AppendReply::Held { copies } }),
+        );
+        // With too few disks it is tried again: members with a disk may join.
+        let enough = copies >= self.options.copies;
+        while let Some(ordered) =
+            self.ordered.pop_front_if(|ordered| enough && ordered.index <= held.position.index)
+        {
             out.push(Output::Finished { token: ordered.token, result: Ok(ordered.output) });
         }
+        if !self.ordered.is_empty() {
+            self.retry_at = now + RETRY_PAUSE;
+        }
         // An operation that was ordered and is not yet held shows in the state; its reading waits for the next round.
         if self.replica.settled() {
             out.extend(
@@ -548,12 +569,13 @@
             return;
         }
         match reply {
-            Some(AppendReply::Held) => {
+            Some(AppendReply::Held { copies }) => {
                 self.positions.insert(pass.successor.identity, pass.position);
                 if pass.installs {
                     self.begin_pass(now, pass.readings, pass.upstream, out);
                 } else {
-                    self.complete(now, pass.begun, pass.position, pass.readings, pass.upstream, out);
+                    let held = Held { begun: pass.begun, position: pass.position, copies_behind: copies };
+                    self.complete(now, held, pass.readings, pass.upstream, out);
                 }
             }
             Some(AppendReply::Mismatch(theirs)) => {
@@ -637,7 +659,7 @@
     pub fn on_install(&mut self, token: Token, install: &Install, out: &mut Vec<Output<M::Output>>) {
         let received = self.replica.install(install);
         self.follow_role(out);
-        let reply = refusal(received).unwrap_or(AppendReply::Held);
+        let reply = refusal(received).unwrap_or(AppendReply::Held { copies: 0 });
         out.push(Output::Reply { token, reply });
     }
 }
--- a/system/chain/src/message.rs
+++ b/system/chain/src/message.rs
@@ -41,8 +41,8 @@
 /// The answer to an [`Append`] or an [`Install`].
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum AppendReply {
-    /// The member and all that follow it hold everything up to the sender's position.
-    Held,
+    /// The member and all that follow it hold everything up to the sender's position, so many of them on a disk.
+    Held { copies: usize },
     /// The member's state is another one; it is at this position.
     Mismatch(Position),
     /// The member knows of a newer view.
--- a/system/chain/tests/cluster.rs
+++ b/system/chain/tests/cluster.rs
@@ -190,6 +190,7 @@
             member_time: Duration::from_millis(1),
             install_time: Duration::from_millis(1),
             copies: TOLERATED + 1,
+            is_durable: true,
             suspect_after: Duration::ZERO,
         };
         self.lives += 1;
--- a/system/control-core/src/coordinator.rs
+++ b/system/control-core/src/coordinator.rs
@@ -1,7 +1,7 @@
 //! A coordinator: a member of the chain that keeps the configuration, and where operators, gateways and stores ask.
 
 use crate::list_reader::{ListReader, Step};
-use crate::membership::{Membership, TaskCall};
+use crate::membership::{Membership, TaskCall, MEMBERS_MOST};
 use crate::operator::{self, Caller, Pending};
 use crate::store_views::{Sizes, StoreViews, FIND_HEAD};
 use crate::{Node, Time};
@@ -55,6 +55,9 @@
     pub grace_period: Duration,
     /// Whether there is a list of servers to read.
     pub reads_list: bool,
+    /// Whether its machine has a disk. Without one it sends callers on to the members, and is one itself only as a founder,
+    /// until others hold the state.
+    pub is_durable: bool,
     /// Drawn by every process anew.
     pub session: u64,
 }
@@ -149,11 +152,16 @@
             member_time: Duration::from_millis(350),
             install_time: Duration::from_secs(3),
             copies: settings.tolerated_machines + 1,
+            is_durable: settings.is_durable,
             suspect_after: SUSPECT_AFTER,
         };
+        let mut chain = Chain::new(replica, options, settings.session);
+        if !settings.is_durable {
+            chain.leave();
+        }
         Coordinator {
             known: settings.seeds.clone(),
-            chain: Chain::new(replica, options, settings.session),
+            chain,
             membership: Membership::new(now),
             store_views: StoreViews::default(),
             leads_since: None,
@@ -516,7 +524,8 @@
         let is_fresh = self.is_fresh(now);
         for held in std::mem::take(&mut self.held) {
             let news = if is_fresh { self.newer(&held.pull) } else { None };
-            let over = now >= held.until || (!is_fresh && now >= held.begun + STALE_PULL);
+            let patience = if self.settings.is_durable { STALE_PULL } else { Duration::ZERO };
+            let over = now >= held.until || (!is_fresh && now >= held.begun + patience);
             match news {
                 Some(updates) => self.answer(held.token, CoordinatorReply::Updates(updates)),
                 None if over => {
@@ -538,6 +547,9 @@
         if self.chain.replica().view().contains(member.identity) {
             return CoordinatorReply::Noted;
         }
+        if self.chain.replica().view().members.len() >= MEMBERS_MOST {
+            return CoordinatorReply::Noted;
+        }
         if self.chain.replica().entries_since(position).is_none() {
             // It learns first: a member has a vote, and is on the path of every acknowledgement.
             return CoordinatorReply::Learn(self.chain.replica().install_message());
--- a/system/control-core/src/membership.rs
+++ b/system/control-core/src/membership.rs
@@ -21,6 +21,14 @@
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// Pause between two requests to join.
 const JOIN_EVERY: Duration = Duration::from_millis(300);
+/// Pause between two looks of a process that is to be no member.
+const WATCH_EVERY: Duration = Duration::from_millis(900);
+/// What others have told of the view is of use to callers for so long.
+const ASKED_LATELY: Duration = Duration::from_millis(1800);
+/// Pause between two announcements of the view to others than members.
+const ANNOUNCE_EVERY: Duration = Duration::from_millis(1500);
+/// Members of a chain at most: every acknowledgement passes them all. Others wait until one fails.
+pub(crate) const MEMBERS_MOST: usize = 7;
 /// A member that has heard nothing of its chain for so long takes its head for failed ...
 pub const HEAD_SILENT: Duration = Duration::from_millis(1000);
 /// ... and as much longer for each member before it, so that they do not bid against each other.
@@ -65,7 +73,7 @@
         waits_for: BTreeSet<SocketAddr>,
         answers: Answers,
     },
-    Proposing(Proposal),
+    Proposing(Box<Proposal>),
 }
 
 /// What a call of a task was made for.
@@ -88,6 +96,7 @@
     started: Duration,
     look_at: Duration,
     join_at: Duration,
+    announce_at: Duration,
     task: Option<Task>,
     /// When the task is given up.
     task_until: Duration,
@@ -103,6 +112,8 @@
     waits_since: Option<(u64, Duration)>,
     /// Members that did not answer before a proposal, and are not asked for their votes.
     silent: BTreeSet<u64>,
+    /// When a process that is no member last asked others, with an answer.
+    asked_at: Option<Duration>,
     /// When the process ends whether it has left or not, once it was told to.
     ends_at: Option<Duration>,
 }
@@ -113,6 +124,7 @@
             started: now,
             look_at: now,
             join_at: now,
+            announce_at: now,
             task: None,
             task_until: now,
             number: 0,
@@ -121,6 +133,7 @@
             away: BTreeMap::new(),
             waits_since: None,
             silent: BTreeSet::new(),
+            asked_at: None,
             ends_at: None,
         }
     }
@@ -141,6 +154,11 @@
         self.leaving.insert(identity);
     }
 
+    /// Whether the view was asked of others a moment ago.
+    pub(crate) fn has_asked_lately(&self, now: Duration) -> bool {
+        self.asked_at.is_some_and(|at| now < at + ASKED_LATELY)
+    }
+
     pub(crate) fn next_wake(&self) -> Duration {
         self.look_at
     }
@@ -189,12 +207,14 @@
         let may_join = now >= self.membership.join_at;
         if !is_member {
             if may_join {
-                self.membership.join_at = now + JOIN_EVERY;
+                let pause = if self.settings().is_durable { JOIN_EVERY } else { WATCH_EVERY };
+                self.membership.join_at = now + pause;
                 self.ask_all(now, Purpose::Join, self.others());
             }
         } else if self.chain().is_head() {
+            self.announce(now);
             self.begin_lead(now);
-        } else if self.membership.ends_at.is_some() {
+        } else if self.chain().is_leaving() {
             if let Some(head) = self.chain().head_address() {
                 self.tell(head, CoordinatorRequest::Leave(identity), STATUS_TIME);
             }
@@ -209,6 +229,21 @@
         }
     }
 
+    /// The head tells the view to those that are no members: a process that was restarted may know only addresses of others
+    /// that know nothing either.
+    fn announce(&mut self, now: Duration) {
+        if now < self.membership.announce_at {
+            return;
+        }
+        self.membership.announce_at = now + ANNOUNCE_EVERY;
+        let view = self.chain().replica().view().clone();
+        let is_member = |address: &SocketAddr| view.members.iter().any(|member| member.address == *address);
+        for address in self.others().into_iter().filter(|address| !is_member(address)) {
+            let request = CoordinatorRequest::Vote(VoteRequest::Decided { view: view.clone() });
+            self.tell(address, request, STATUS_TIME);
+        }
+    }
+
     fn begin_task(&mut self, now: Duration, task: Task) -> u64 {
         self.membership.number += 1;
         self.membership.task_until = now + TASK_MOST;
@@ -282,7 +317,12 @@
             }
         }
         match purpose {
-            Purpose::Join => self.ask_to_join(),
+            Purpose::Join => {
+                self.membership.asked_at = if answers.is_empty() { None } else { Some(now) };
+                if self.settings().is_durable {
+                    self.ask_to_join();
+                }
+            }
             Purpose::CatchUp => {}
             // What was to be done was of a view that is over.
             Purpose::Lead | Purpose::Follow if is_over => {}
@@ -313,6 +353,7 @@
         let status = self.chain().status(now);
         let view = status.view;
         let tolerated = self.settings().tolerated_machines;
+        let leaves = self.chain().is_leaving();
         let membership = &mut self.membership;
         membership.joining.retain(|member| !view.contains(member.identity));
         membership.leaving.retain(|identity| view.contains(*identity));
@@ -324,7 +365,7 @@
         let gone = spare && membership.away.values().any(|heard| now >= *heard + VOTER_AWAY);
         let suspects = view.members.iter().any(|member| Some(member.address) == status.suspect);
         let changes = suspects || gone || !membership.joining.is_empty() || !membership.leaving.is_empty();
-        if !changes && membership.ends_at.is_none() {
+        if !changes && !leaves {
             return;
         }
         let joining = membership.joining.iter().map(|member| member.address);
@@ -340,7 +381,7 @@
         }
         let own = self.own_member().identity;
         let view = self.chain().replica().view().clone();
-        let hands_over = self.membership.ends_at.is_some();
+        let hands_over = self.chain().is_leaving();
         let joining = std::mem::take(&mut self.membership.joining);
         let suspect = self.chain().status(now).suspect;
         let answer_of = |member: &Member| answers.get(&member.address);
@@ -362,13 +403,12 @@
         let stay =
             |member: &&Member| !fails(member) && !leaves(member) && (!hands_over || member.identity != own);
         let copies = self.settings().tolerated_machines + 1;
-        let may_leave = view.members.iter().filter(stay).filter(is_complete).count() >= copies;
-        if hands_over && !may_leave {
-            return;
-        }
+        let is_durable = |member: &&Member| !answer_of(member).is_some_and(|status| status.leaving);
+        let may_leave =
+            view.members.iter().filter(stay).filter(is_complete).filter(is_durable).count() >= copies;
         let goes = |member: &&Member| fails(member) || (may_leave && leaves(member));
         let mut members: Vec<Member> = view.members.iter().filter(|member| !goes(member)).cloned().collect();
-        if hands_over {
+        if hands_over && may_leave {
             members.retain(|member| member.identity != own);
             let Some(first) = members.iter().position(|member| is_complete(&member)) else { return };
             members.swap(0, first);
@@ -378,7 +418,7 @@
         };
         // One at a time: each holds everything before the next one votes.
         let joiner = joining.iter().filter(|member| !view.contains(member.identity)).find(answers_as);
-        members.extend(joiner.cloned());
+        members.extend(joiner.filter(|_| members.len() < MEMBERS_MOST).cloned());
         let voters = self.next_voters(&view, &members, answers);
         if (members != view.members || voters != view.voters)
             && self.keeps_copies(now, &view, &members, answers)
@@ -506,7 +546,7 @@
         let view = View { number: instance, members, voters };
         info!("proposes view {}: {}", view.number, view.addresses());
         let proposal = Proposal::new(current, view, next_ballot(promised, rank), lost);
-        self.begin_task(now, Task::Proposing(proposal));
+        self.begin_task(now, Task::Proposing(Box::new(proposal)));
         self.membership.silent = silent;
         self.ask_votes();
     }
--- a/system/control-core/src/operator.rs
+++ b/system/control-core/src/operator.rs
@@ -119,10 +119,12 @@
         None
     }
 
-    /// Sends the caller to the head, where this process knows by its lease who that is.
+    /// Sends the caller to the head, where this process knows who that is: a member by its lease, another one because it has
+    /// asked a moment ago. Whoever is named answers only what it can prove.
     fn redirect(&self, now: Duration, url: &str) -> Reply {
+        let knows_head = self.is_fresh(now) || self.membership.has_asked_lately(now);
         match (self.chain().head_address(), self.settings().operator_port) {
-            (Some(head), Some(port)) if self.is_fresh(now) && head != self.settings().address => {
+            (Some(head), Some(port)) if knows_head && head != self.settings().address => {
                 let to = SocketAddr::new(head.ip(), port);
                 Reply::status(307).with("Location", format!("http://{to}{url}"))
             }
--- a/system/control-core/src/store.rs
+++ b/system/control-core/src/store.rs
@@ -202,6 +202,7 @@
             member_time: Duration::from_millis(400),
             install_time: Duration::from_secs(4),
             copies: settings.tolerated_machines + 1,
+            is_durable: true,
             suspect_after: Duration::from_millis(500),
         };
         Store {
--- a/system/control-plane/src/coordinator.rs
+++ b/system/control-plane/src/coordinator.rs
@@ -4,7 +4,8 @@
 use crate::disk;
 use crate::platform_list::PlatformList;
 use crate::shell::{self, Clock, Next, LINGER};
-use marblecroft_chain::View;
+use marblecroft_chain::storage::Storage;
+use marblecroft_chain::{Replica, View};
 use marblecroft_control_core::coordinator::{Coordinator, Input, Output, Settings as CoreSettings};
 use marblecroft_control_core::member;
 use marblecroft_control_core::operator::{Call, Method};
@@ -38,6 +39,7 @@
         tolerated_machines: settings.tolerated_machines,
         grace_period: settings.bounds.grace_period,
         reads_list: settings.cloud_api.is_some(),
+        is_durable: settings.data_dir.is_some(),
         session: draw_number(),
     }
 }
@@ -57,9 +59,21 @@
 pub fn run(settings: &Settings) -> io::Result<()> {
     let missing = |what: &str| io::Error::new(io::ErrorKind::InvalidInput, format!("{what} is missing"));
     let control_plane = settings.bind.control_plane.ok_or_else(|| missing("bind_addresses.control_plane"))?;
-    let folder = settings.data_dir.as_ref().ok_or_else(|| missing("data_dir"))?;
     let address = internal_address(IpAddr::V4(settings.ip), settings.ephemeral_ports);
-    let replica = disk::open::<Control>(folder, founding_view(settings))?;
+    match &settings.data_dir {
+        Some(folder) => {
+            run_with(settings, control_plane, address, disk::open(folder, founding_view(settings))?)
+        }
+        None => run_with(settings, control_plane, address, disk::without(founding_view(settings))?),
+    }
+}
+
+fn run_with<S: Storage>(
+    settings: &Settings,
+    control_plane: SocketAddr,
+    address: SocketAddr,
+    replica: Replica<Control, S>,
+) -> io::Result<()> {
     info!("coordinator {:x} starts in view {}", replica.identity(), replica.view().number);
     let clock = Clock::start();
     let mut node = Coordinator::new(core_settings(settings, address), replica, clock.time().steady);
--- a/system/data-plane/src/front.rs
+++ b/system/data-plane/src/front.rs
@@ -45,6 +45,9 @@
 /// Told to clients whose request was not carried out for want of something that comes back soon, in seconds.
 const RETRY_SOON: &str = "0.2";
 
+/// The operator's call that tells the configuration.
+const CONFIGURATION_READ: &str = "/-/Config.Read";
+
 /// A request that has come whole.
 pub struct Whole {
     pub method: Method,
@@ -248,6 +251,14 @@
     if let Some(call) = batch_api::Call::of(&whole) {
         return batch_api::answer(gateway, call).await;
     }
+    if whole.uri.path() == CONFIGURATION_READ {
+        // A gateway cannot prove that it has the newest.
+        return refusal(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the coordinators tell the configuration",
+            RETRY_SOON,
+        );
+    }
     let known = gateway.state.known();
     let Some(configuration) = known.configuration else {
         return refusal(StatusCode::SERVICE_UNAVAILABLE, "there is no configuration yet", RETRY_SOON);
--- a/system/data-plane/src/puller.rs
+++ b/system/data-plane/src/puller.rs
@@ -32,13 +32,18 @@
         let wait_ms = u32::try_from(HOLD.as_millis()).unwrap_or(u32::MAX);
         let pull = CoordinatorRequest::Pull(Pull { have: state.versions(), wait_ms });
         match caller.call(to, &pull, ANSWER) {
-            Ok(CoordinatorReply::Updates(updates)) if updates.fresh => {
+            Ok(CoordinatorReply::Updates(updates)) => {
                 for coordinator in &updates.coordinators {
                     if !coordinators.contains(coordinator) {
                         coordinators.push(*coordinator);
                     }
                 }
-                state.update(updates);
+                if updates.fresh {
+                    state.update(updates);
+                } else {
+                    at += 1;
+                    thread::sleep(PAUSE);
+                }
             }
             Ok(_) | Err(_) => {
                 at += 1;
--- a/system/simulation/src/disk.rs
+++ b/system/simulation/src/disk.rs
@@ -56,9 +56,16 @@
         self.state().refuses = refuses;
     }
 
-    /// A bit has flipped in something that was synced.
-    pub fn damage(&self) {
-        self.state().damaged = true;
+    /// A bit has flipped in something that was synced: what stands behind it can't be read.
+    pub fn damage(&self, rng: &mut Rng) {
+        let mut state = self.state();
+        state.damaged = true;
+        if state.records.is_empty() {
+            state.checkpoint = None;
+        } else {
+            let kept = rng.usize(0..state.records.len());
+            state.records.truncate(kept);
+        }
     }
 
     pub fn wipe(&self) {
--- a/system/simulation/tests/orders.rs
+++ b/system/simulation/tests/orders.rs
@@ -43,6 +43,7 @@
                 coordinators: 3,
                 stores: 3,
                 tolerated: 1,
+                without_disk: 0,
             };
             // At ever other moments of the changes that are under way.
             let at = 6.0 + 0.0037 * f64::from(step);
