--- a/system/control-core/src/lib.rs
+++ b/system/control-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod operator;
 pub mod store;
 pub mod store_views;
+mod view_change;
 
 use std::time::Duration;
 
--- a/system/control-core/src/membership.rs
+++ b/system/control-core/src/membership.rs
@@ -8,9 +8,9 @@
 //! A process under way with one [`Task`] begins no other, and gives it up after [`TASK_MOST`].
 
 use crate::coordinator::Coordinator;
-use marblecroft_chain::agreement::{next_ballot, Outcome, Phase, Proposal, Step, VoteReply, VoteRequest};
+use marblecroft_chain::agreement::{Phase, Proposal, VoteRequest};
 use marblecroft_chain::storage::Storage;
-use marblecroft_chain::{Member, Status, View};
+use marblecroft_chain::{Member, Status};
 use marblecroft_protocol::coordinator::{CoordinatorReply, CoordinatorRequest};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -36,9 +36,7 @@
 /// A head that answers is left in place for so long all the same; the fault may be another's, which it mends.
 const HEAD_ANSWERS: Duration = Duration::from_millis(3500);
 /// Time for an answer that needs no disk.
-const STATUS_TIME: Duration = Duration::from_millis(400);
-/// Time for a vote, which goes to a disk.
-const VOTE_TIME: Duration = Duration::from_millis(800);
+pub(crate) const STATUS_TIME: Duration = Duration::from_millis(400);
 /// A voter that is no member and has not been heard of for so long is left out, if enough others are left.
 const VOTER_AWAY: Duration = Duration::from_millis(1500);
 /// How long members that are out of reach are waited for, where the others are too few copies.
@@ -49,11 +47,11 @@
 const LEAVE_MOST: Duration = Duration::from_secs(3);
 
 /// The processes that answered, by address.
-type Answers = BTreeMap<SocketAddr, Status>;
+pub(crate) type Answers = BTreeMap<SocketAddr, Status>;
 
 /// Why others are asked for their status.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Purpose {
+pub(crate) enum Purpose {
     /// A process that is no member would be one.
     Join,
     /// A member that waits for its state may be in a view that is over.
@@ -65,7 +63,7 @@
 }
 
 /// What is under way.
-enum Task {
+pub(crate) enum Task {
     Asking {
         purpose: Purpose,
         /// The view in which they were asked.
@@ -80,12 +78,12 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct TaskCall {
     /// Answers to the calls of earlier tasks change nothing.
-    task: u64,
-    asks: Asks,
+    pub(crate) task: u64,
+    pub(crate) asks: Asks,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
-enum Asks {
+pub(crate) enum Asks {
     Status(SocketAddr),
     Vote { phase: Phase, identity: u64 },
     Join,
@@ -97,11 +95,11 @@
     look_at: Duration,
     join_at: Duration,
     announce_at: Duration,
-    task: Option<Task>,
+    pub(crate) task: Option<Task>,
     /// When the task is given up.
     task_until: Duration,
     /// Counts the tasks.
-    number: u64,
+    pub(crate) number: u64,
     /// Processes that would be members and hold the state.
     joining: Vec<Member>,
     /// Members that have asked to be left out.
@@ -109,9 +107,9 @@
     /// Voters that are no members, and when they were last heard of by this head.
     away: BTreeMap<u64, Duration>,
     /// The view in which members out of reach are waited for, and since when.
-    waits_since: Option<(u64, Duration)>,
+    pub(crate) waits_since: Option<(u64, Duration)>,
     /// Members that did not answer before a proposal, and are not asked for their votes.
-    silent: BTreeSet<u64>,
+    pub(crate) silent: BTreeSet<u64>,
     /// When a process that is no member last asked others, with an answer.
     asked_at: Option<Duration>,
     /// When the process ends whether it has left or not, once it was told to.
@@ -244,7 +242,7 @@
         }
     }
 
-    fn begin_task(&mut self, now: Duration, task: Task) -> u64 {
+    pub(crate) fn begin_task(&mut self, now: Duration, task: Task) -> u64 {
         self.membership.number += 1;
         self.membership.task_until = now + TASK_MOST;
         self.membership.task = Some(task);
@@ -385,12 +383,7 @@
         let joining = std::mem::take(&mut self.membership.joining);
         let suspect = self.chain().status(now).suspect;
         let answer_of = |member: &Member| answers.get(&member.address);
-        let is_complete = |member: &&Member| {
-            let holds = |status: &Status| {
-                status.identity == member.identity && status.complete && status.view.number == view.number
-            };
-            member.identity == own || answer_of(member).is_some_and(holds)
-        };
+        let is_complete = |member: &&Member| self.is_complete(member, &view, answers);
         let leaves = |member: &Member| {
             let says_so = answer_of(member).is_some_and(|status| status.leaving);
             says_so && self.membership.leaving.contains(&member.identity)
@@ -427,63 +420,6 @@
         }
     }
 
-    /// Who votes after `view`, where these are to be the members. Of the others those go that are lost, do not answer or leave,
-    /// as long as 2f + 1 are left.
-    fn next_voters(&self, view: &View, members: &[Member], answers: &Answers) -> Vec<Member> {
-        let least = 2 * self.settings().tolerated_machines + 1;
-        let mut voters = view.voters.clone();
-        voters.extend(members.iter().filter(|member| !view.has_voter(member.identity)).cloned());
-        let holds = |voter: &Member| members.iter().any(|member| member.identity == voter.identity);
-        let answer_of = |voter: &Member| answers.get(&voter.address);
-        let is_lost =
-            |voter: &Member| answer_of(voter).is_some_and(|status| status.identity != voter.identity);
-        let is_back = |voter: &Member| {
-            let identity = answer_of(voter).map(|status| status.identity);
-            is_lost(voter) && members.iter().any(|member| Some(member.identity) == identity)
-        };
-        // Its machine votes as another one.
-        voters.retain(|voter| !is_back(voter));
-        let is_silent = |voter: &Member| answer_of(voter).is_none();
-        let leaves = |voter: &Member| answer_of(voter).is_some_and(|status| status.leaving);
-        let reasons: [&dyn Fn(&Member) -> bool; 3] = [&is_lost, &is_silent, &leaves];
-        for goes in reasons {
-            while voters.len() > least {
-                let Some(at) = voters.iter().position(|voter| !holds(voter) && goes(voter)) else { break };
-                voters.remove(at);
-            }
-        }
-        voters
-    }
-
-    /// Whether enough of the next members hold everything, where members are left out whose disks may be there: only those
-    /// that were complete can head the view after. With fewer than the copies that there must be, it is better to wait for
-    /// those that are out of reach; for a while, as they may be gone for good.
-    fn keeps_copies(&mut self, now: Duration, view: &View, members: &[Member], answers: &Answers) -> bool {
-        let own = self.chain().replica().identity();
-        let answer_of = |member: &Member| answers.get(&member.address);
-        let is_complete = |member: &&Member| {
-            let holds = |status: &Status| {
-                status.identity == member.identity && status.complete && status.view.number == view.number
-            };
-            member.identity == own || answer_of(member).is_some_and(holds)
-        };
-        let stays = |member: &Member| members.iter().any(|other| other.identity == member.identity);
-        let is_lost =
-            |member: &Member| answer_of(member).is_some_and(|status| status.identity != member.identity);
-        let leaves_out = view.members.iter().any(|member| !stays(member) && !is_lost(member));
-        let holders = members.iter().filter(is_complete).count();
-        if !leaves_out || holders > self.settings().tolerated_machines {
-            self.membership.waits_since = None;
-            return true;
-        }
-        let since = *self.membership.waits_since.get_or_insert((view.number, now));
-        if since.0 != view.number {
-            self.membership.waits_since = Some((view.number, now));
-            return false;
-        }
-        now >= since.1 + WAIT_FOR_COPIES
-    }
-
     fn begin_follow(&mut self, now: Duration) {
         let status = self.chain().status(now);
         if self.silence(now) >= self.patience() {
@@ -527,99 +463,4 @@
             self.propose(now, members, voters, answers);
         }
     }
-
-    /// Begins to have `members` decided as the next view.
-    fn propose(&mut self, now: Duration, members: Vec<Member>, voters: Vec<Member>, answers: &Answers) {
-        let replica = self.chain().replica();
-        let (current, own) = (replica.view().clone(), replica.identity());
-        let rank = current.voters.iter().position(|voter| voter.identity == own).unwrap_or(0);
-        let instance = current.number + 1;
-        let promised = if replica.vote().instance == instance { replica.vote().promised } else { 0 };
-        let answer_of = |member: &Member| answers.get(&member.address).map(|status| status.identity);
-        // The machine answers, and its disk is another one.
-        let is_lost =
-            |member: &&Member| answer_of(member).is_some_and(|identity| identity != member.identity);
-        let lost = current.voters.iter().filter(is_lost).map(|member| member.identity).collect();
-        let silent = |member: &&Member| member.identity != own && answer_of(member) != Some(member.identity);
-        let silent: BTreeSet<u64> =
-            current.voters.iter().filter(silent).map(|member| member.identity).collect();
-        let view = View { number: instance, members, voters };
-        info!("proposes view {}: {}", view.number, view.addresses());
-        let proposal = Proposal::new(current, view, next_ballot(promised, rank), lost);
-        self.begin_task(now, Task::Proposing(Box::new(proposal)));
-        self.membership.silent = silent;
-        self.ask_votes();
-    }
-
-    /// Asks for the votes of one phase: this process's own first, which must be on its disk before any other is asked.
-    fn ask_votes(&mut self) {
-        let Some(Task::Proposing(proposal)) = &self.membership.task else { return };
-        let (request, phase) = (proposal.request(), proposal.phase());
-        let voters = proposal.current().voters.clone();
-        let own = self.chain().replica().identity();
-        let reply = self.chain_mut().with_replica(|replica| replica.answer_vote(&request));
-        let granted = matches!(reply, VoteReply::Promised(_) | VoteReply::Accepted);
-        if !granted {
-            warn!("this process's own vote was not given: {reply:?}");
-            self.membership.task = None;
-            return;
-        }
-        let task = self.membership.number;
-        self.take_vote(phase, own, Some(reply));
-        for member in voters.iter().filter(|voter| voter.identity != own) {
-            let under_way = self.membership.number == task
-                && matches!(&self.membership.task, Some(Task::Proposing(p)) if p.phase() == phase);
-            if !under_way {
-                return;
-            }
-            if self.membership.silent.contains(&member.identity) {
-                self.take_vote(phase, member.identity, None);
-                continue;
-            }
-            let call = TaskCall { task, asks: Asks::Vote { phase, identity: member.identity } };
-            self.call_for_task(member.address, CoordinatorRequest::Vote(request.clone()), VOTE_TIME, call);
-        }
-    }
-
-    fn take_vote(&mut self, phase: Phase, identity: u64, reply: Option<VoteReply>) {
-        let Some(Task::Proposing(proposal)) = &mut self.membership.task else { return };
-        match proposal.note(phase, identity, reply) {
-            Step::Wait => {}
-            Step::Ask => self.ask_votes(),
-            Step::Ended(outcome) => {
-                let current = proposal.current().clone();
-                self.membership.task = None;
-                self.conclude(&current, outcome);
-            }
-        }
-    }
-
-    fn conclude(&mut self, current: &View, outcome: Outcome) {
-        match outcome {
-            Outcome::Decided(view) => {
-                self.learn(&view);
-                self.tell_decided(current, &view);
-            }
-            Outcome::Undecided { outbid } => {
-                if outbid > 0 {
-                    // The next ballot of one's own is above what one has promised; promise the other one's.
-                    let request = VoteRequest::Prepare { instance: current.number + 1, ballot: outbid };
-                    self.chain_mut().with_replica(|replica| replica.answer_vote(&request));
-                }
-                warn!("view {} was not agreed", current.number + 1);
-            }
-        }
-    }
-
-    /// Tells everyone concerned of a view that was decided. Whoever does not hear it learns it from the next message of the
-    /// chain.
-    fn tell_decided(&mut self, before: &View, view: &View) {
-        let members = before.members.iter().chain(&before.voters).chain(&view.members).chain(&view.voters);
-        let mut addresses: BTreeSet<SocketAddr> = members.map(|member| member.address).collect();
-        addresses.remove(&self.settings().address);
-        for address in addresses {
-            let request = CoordinatorRequest::Vote(VoteRequest::Decided { view: view.clone() });
-            self.tell(address, request, STATUS_TIME);
-        }
-    }
 }
--- /dev/null
+++ b/system/control-core/src/view_change.rs
@@ -0,0 +1,184 @@
+//! Changes of the coordinators' view: who votes on the next one, whether enough copies are left, and the proposal itself.
+
+use crate::coordinator::Coordinator;
+use crate::membership::{Answers, Asks, Task, TaskCall, STATUS_TIME, WAIT_FOR_COPIES};
+use marblecroft_chain::agreement::{next_ballot, Outcome, Phase, Proposal, Step, VoteReply, VoteRequest};
+use marblecroft_chain::storage::Storage;
+use marblecroft_chain::{Member, Status, View};
+use marblecroft_protocol::coordinator::CoordinatorRequest;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tracing::{info, warn};
+
+/// Time for a vote, which goes to a disk.
+const VOTE_TIME: Duration = Duration::from_millis(800);
+
+impl<S: Storage> Coordinator<S> {
+    /// Whether a member holds everything that was acknowledged in this view: this process, or one that says so.
+    pub(crate) fn is_complete(&self, member: &Member, view: &View, answers: &Answers) -> bool {
+        let holds = |status: &Status| {
+            status.identity == member.identity && status.complete && status.view.number == view.number
+        };
+        member.identity == self.chain().replica().identity()
+            || answers.get(&member.address).is_some_and(holds)
+    }
+
+    /// Who votes after `view`, where these are to be the members. Of the others those go that are lost, do not answer or leave,
+    /// as long as 2f + 1 are left.
+    pub(crate) fn next_voters(&self, view: &View, members: &[Member], answers: &Answers) -> Vec<Member> {
+        let least = 2 * self.settings().tolerated_machines + 1;
+        let mut voters = view.voters.clone();
+        voters.extend(members.iter().filter(|member| !view.has_voter(member.identity)).cloned());
+        let holds = |voter: &Member| members.iter().any(|member| member.identity == voter.identity);
+        let answer_of = |voter: &Member| answers.get(&voter.address);
+        let is_lost =
+            |voter: &Member| answer_of(voter).is_some_and(|status| status.identity != voter.identity);
+        let is_back = |voter: &Member| {
+            let identity = answer_of(voter).map(|status| status.identity);
+            is_lost(voter) && members.iter().any(|member| Some(member.identity) == identity)
+        };
+        // Its machine votes as another one.
+        voters.retain(|voter| !is_back(voter));
+        let is_silent = |voter: &Member| answer_of(voter).is_none();
+        let leaves = |voter: &Member| answer_of(voter).is_some_and(|status| status.leaving);
+        let reasons: [&dyn Fn(&Member) -> bool; 3] = [&is_lost, &is_silent, &leaves];
+        for goes in reasons {
+            while voters.len() > least {
+                let Some(at) = voters.iter().position(|voter| !holds(voter) && goes(voter)) else { break };
+                voters.remove(at);
+            }
+        }
+        voters
+    }
+
+    /// Whether enough of the next members hold everything, where members are left out whose disks may be there: only those
+    /// that were complete can head the view after. With fewer than the copies that there must be, it is better to wait for
+    /// those that are out of reach; for a while, as they may be gone for good.
+    pub(crate) fn keeps_copies(
+        &mut self,
+        now: Duration,
+        view: &View,
+        members: &[Member],
+        answers: &Answers,
+    ) -> bool {
+        let answer_of = |member: &Member| answers.get(&member.address);
+        let is_complete = |member: &&Member| self.is_complete(member, view, answers);
+        let stays = |member: &Member| members.iter().any(|other| other.identity == member.identity);
+        let is_lost =
+            |member: &Member| answer_of(member).is_some_and(|status| status.identity != member.identity);
+        let leaves_out = view.members.iter().any(|member| !stays(member) && !is_lost(member));
+        let holders = members.iter().filter(is_complete).count();
+        if !leaves_out || holders > self.settings().tolerated_machines {
+            self.membership.waits_since = None;
+            return true;
+        }
+        let since = *self.membership.waits_since.get_or_insert((view.number, now));
+        if since.0 != view.number {
+            self.membership.waits_since = Some((view.number, now));
+            return false;
+        }
+        now >= since.1 + WAIT_FOR_COPIES
+    }
+
+    /// Begins to have `members` decided as the next view.
+    pub(crate) fn propose(
+        &mut self,
+        now: Duration,
+        members: Vec<Member>,
+        voters: Vec<Member>,
+        answers: &Answers,
+    ) {
+        let replica = self.chain().replica();
+        let (current, own) = (replica.view().clone(), replica.identity());
+        let rank = current.voters.iter().position(|voter| voter.identity == own).unwrap_or(0);
+        let instance = current.number + 1;
+        let promised = if replica.vote().instance == instance { replica.vote().promised } else { 0 };
+        let answer_of = |member: &Member| answers.get(&member.address).map(|status| status.identity);
+        // The machine answers, and its disk is another one.
+        let is_lost =
+            |member: &&Member| answer_of(member).is_some_and(|identity| identity != member.identity);
+        let lost = current.voters.iter().filter(is_lost).map(|member| member.identity).collect();
+        let silent = |member: &&Member| member.identity != own && answer_of(member) != Some(member.identity);
+        let silent: BTreeSet<u64> =
+            current.voters.iter().filter(silent).map(|member| member.identity).collect();
+        let view = View { number: instance, members, voters };
+        info!("proposes view {}: {}", view.number, view.addresses());
+        let proposal = Proposal::new(current, view, next_ballot(promised, rank), lost);
+        self.begin_task(now, Task::Proposing(Box::new(proposal)));
+        self.membership.silent = silent;
+        self.ask_votes();
+    }
+
+    /// Asks for the votes of one phase: this process's own first, which must be on its disk before any other is asked.
+    fn ask_votes(&mut self) {
+        let Some(Task::Proposing(proposal)) = &self.membership.task else { return };
+        let (request, phase) = (proposal.request(), proposal.phase());
+        let voters = proposal.current().voters.clone();
+        let own = self.chain().replica().identity();
+        let reply = self.chain_mut().with_replica(|replica| replica.answer_vote(&request));
+        let granted = matches!(reply, VoteReply::Promised(_) | VoteReply::Accepted);
+        if !granted {
+            warn!("this process's own vote was not given: {reply:?}");
+            self.membership.task = None;
+            return;
+        }
+        let task = self.membership.number;
+        self.take_vote(phase, own, Some(reply));
+        for member in voters.iter().filter(|voter| voter.identity != own) {
+            let under_way = self.membership.number == task
+                && matches!(&self.membership.task, Some(Task::Proposing(p)) if p.phase() == phase);
+            if !under_way {
+                return;
+            }
+            if self.membership.silent.contains(&member.identity) {
+                self.take_vote(phase, member.identity, None);
+                continue;
+            }
+            let call = TaskCall { task, asks: Asks::Vote { phase, identity: member.identity } };
+            self.call_for_task(member.address, CoordinatorRequest::Vote(request.clone()), VOTE_TIME, call);
+        }
+    }
+
+    pub(crate) fn take_vote(&mut self, phase: Phase, identity: u64, reply: Option<VoteReply>) {
+        let Some(Task::Proposing(proposal)) = &mut self.membership.task else { return };
+        match proposal.note(phase, identity, reply) {
+            Step::Wait => {}
+            Step::Ask => self.ask_votes(),
+            Step::Ended(outcome) => {
+                let current = proposal.current().clone();
+                self.membership.task = None;
+                self.conclude(&current, outcome);
+            }
+        }
+    }
+
+    fn conclude(&mut self, current: &View, outcome: Outcome) {
+        match outcome {
+            Outcome::Decided(view) => {
+                self.learn(&view);
+                self.tell_decided(current, &view);
+            }
+            Outcome::Undecided { outbid } => {
+                if outbid > 0 {
+                    // The next ballot of one's own is above what one has promised; promise the other one's.
+                    let request = VoteRequest::Prepare { instance: current.number + 1, ballot: outbid };
+                    self.chain_mut().with_replica(|replica| replica.answer_vote(&request));
+                }
+                warn!("view {} was not agreed", current.number + 1);
+            }
+        }
+    }
+
+    /// Tells everyone concerned of a view that was decided. Whoever does not hear it learns it from the next message of the
+    /// chain.
+    fn tell_decided(&mut self, before: &View, view: &View) {
+        let members = before.members.iter().chain(&before.voters).chain(&view.members).chain(&view.voters);
+        let mut addresses: BTreeSet<SocketAddr> = members.map(|member| member.address).collect();
+        addresses.remove(&self.settings().address);
+        for address in addresses {
+            let request = CoordinatorRequest::Vote(VoteRequest::Decided { view: view.clone() });
+            self.tell(address, request, STATUS_TIME);
+        }
+    }
+}
