Let chains go on with two complete members, and wait 1.8 s for stores' first reports

Change: neither chain goes on with a single complete member while left-out disks may be sound, for 20 s.

--- a/system/control-core/src/membership.rs
+++ b/system/control-core/src/membership.rs
@@ -39,7 +39,9 @@
 pub(crate) const STATUS_TIME: Duration = Duration::from_millis(400);
 /// A voter that is no member and has not been heard of for so long is left out, if enough others are left.
 const VOTER_AWAY: Duration = Duration::from_millis(1500);
-/// How long members that are out of reach are waited for, where the others are too few copies.
+/// Complete members that a chain keeps while left-out disks may be sound. A chain of f + 2 still has so many after f losses.
+pub const COMPLETE_LEAST: usize = 2;
+/// How long members that are out of reach are waited for, where the others are too few.
 pub const WAIT_FOR_COPIES: Duration = Duration::from_secs(20);
 /// A task is given up after this time, which is more than all of its calls may take.
 const TASK_MOST: Duration = Duration::from_secs(3);
--- a/system/control-core/src/store_views.rs
+++ b/system/control-core/src/store_views.rs
@@ -1,7 +1,7 @@
 //! Which stores form the chain that keeps batch jobs. The coordinators decide it: every view of the stores' chain is an
 //! operation of their own chain, and is headed by a store that was complete in the view before.
 
-use crate::membership::WAIT_FOR_COPIES;
+use crate::membership::{COMPLETE_LEAST, WAIT_FOR_COPIES};
 use marblecroft_chain::{Member, View};
 use marblecroft_protocol::coordinator::StoreReport;
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,7 +11,7 @@
 /// A store that has not reported for so long has failed.
 const SILENT: Duration = Duration::from_millis(900);
 /// Stores find a new head within this time, wherever they look first; until then none that it has not heard from has failed.
-pub const FIND_HEAD: Duration = Duration::from_millis(2500);
+pub const FIND_HEAD: Duration = Duration::from_millis(1800);
 /// The first view waits for so long after the first report, so that all stores can be in it.
 const FOUNDING_WAIT: Duration = Duration::from_millis(1500);
 /// A store may join when it is at most so many entries behind.
@@ -179,8 +179,8 @@
     }
 
     /// Whether enough of the members hold everything, where some are left out whose disks may be there: only those that were
-    /// complete can head the view after. With fewer it is better to wait for those that are out of reach; for a while, as
-    /// they may be gone for good.
+    /// complete can head the view after. With a single one it is better to wait for those that are out of reach; for a
+    /// while, as they may be gone for good.
     fn keeps_copies(
         &mut self,
         now: Duration,
@@ -194,7 +194,7 @@
             .members
             .iter()
             .any(|member| !reports(member) && !self.is_lost(now, member) && !retired(&member.node));
-        if !out_of_reach || complete.len() >= sizes.copies {
+        if !out_of_reach || complete.len() >= COMPLETE_LEAST.min(sizes.copies) {
             self.waits_since = None;
             return true;
         }
--- a/system/control-core/src/view_change.rs
+++ b/system/control-core/src/view_change.rs
@@ -1,7 +1,7 @@
 //! Changes of the coordinators' view: who votes on the next one, whether enough copies are left, and the proposal itself.
 
 use crate::coordinator::Coordinator;
-use crate::membership::{Answers, Asks, Task, TaskCall, STATUS_TIME, WAIT_FOR_COPIES};
+use crate::membership::{Answers, Asks, Task, TaskCall, COMPLETE_LEAST, STATUS_TIME, WAIT_FOR_COPIES};
 use marblecroft_chain::agreement::{next_ballot, Outcome, Phase, Proposal, Step, VoteReply, VoteRequest};
 use marblecroft_chain::storage::Storage;
 use marblecroft_chain::{Member, Status, View};
@@ -53,8 +53,8 @@
     }
 
     /// Whether enough of the next members hold everything, where members are left out whose disks may be there: only those
-    /// that were complete can head the view after. With fewer than the copies that there must be, it is better to wait for
-    /// those that are out of reach; for a while, as they may be gone for good.
+    /// that were complete can head the view after. With a single one, its disk would be the only one that counts, so it is
+    /// better to wait for those that are out of reach; for a while, as they may be gone for good.
     pub(crate) fn keeps_copies(
         &mut self,
         now: Duration,
@@ -69,7 +69,7 @@
             |member: &Member| answer_of(member).is_some_and(|status| status.identity != member.identity);
         let leaves_out = view.members.iter().any(|member| !stays(member) && !is_lost(member));
         let holders = members.iter().filter(is_complete).count();
-        if !leaves_out || holders > self.settings().tolerated_machines {
+        if !leaves_out || holders >= COMPLETE_LEAST.min(self.settings().tolerated_machines + 1) {
             self.membership.waits_since = None;
             return true;
         }
