--- a/system/control-core/src/lib.rs
+++ b/system/control-core/src/lib.rs
@@ -7,7 +7,7 @@
 #![forbid(unsafe_code)]
 
 pub mod coordinator;
-mod list_reader;
+pub mod list_reader;
 pub mod member;
 mod membership;
 pub mod operator;
