Let no job be lost with a thread that has just stopped waiting for one

Cause, by reading: an idle thread's channel held one job. A job sent between the end of the thread's wait and the end of the thread was taken by nobody: the call was never made and never answered, and a chain's round or a store's report waited for it for ever. With no room in the channel, sending succeeds only when the thread takes the job; otherwise it comes back.

Measured: the program's own tests.

--- a/system/control-plane/src/calls.rs
+++ b/system/control-plane/src/calls.rs
@@ -48,7 +48,9 @@
     }
 
     fn work(&self, first: Job) {
-        let (sender, jobs) = sync_channel(1);
+        // Without room in the channel a job is handed over or given back: a thread that has just stopped waiting takes none
+        // along.
+        let (sender, jobs) = sync_channel(0);
         let mut job = first;
         loop {
             job();
