Have one piece of code each for answers, numbered calls, waiting for copies and leaving

Cause: the same checks and tables stood in several places: "answers as another one" five times over, tables with their own counters six times in coordinator and store, the wait for members out of reach and the time to leave twice, a storage that keeps nothing in the program and in a test. The list of servers was decoded for each held pull at every input, and a status was copied before it was known to be needed.

Change: control-core/src/{answers,numbered,patience}.rs, NoDisk in the chain's storage, StoreViews::is_complete; the list is decoded once for each notice. Learning a view returns nothing, as nobody asked. Behaviour as it was.

--- a/system/chain/src/chain.rs
+++ b/system/chain/src/chain.rs
@@ -294,15 +294,13 @@
         f(&mut self.replica)
     }
 
-    /// Takes notice of a view; whether it was news.
-    pub fn learn(&mut self, view: &View) -> bool {
-        let learnt = self.replica.learn(view);
-        match &learnt {
+    /// Takes notice of a view.
+    pub fn learn(&mut self, view: &View) {
+        match self.replica.learn(view) {
             Ok(true) => info!("view {} with {}", view.number, view.addresses()),
             Ok(false) => {}
             Err(e) => warn!("a view could not be kept: {e}"),
         }
-        matches!(learnt, Ok(true))
     }
 
     /// Has an operation carried out and acknowledged by the whole chain. It may still be carried out after `until`, when it
--- a/system/chain/src/storage.rs
+++ b/system/chain/src/storage.rs
@@ -37,6 +37,27 @@
     }
 }
 
+/// What a member keeps on a machine without a disk: nothing.
+pub struct NoDisk;
+
+impl Storage for NoDisk {
+    fn append(&mut self, _: &[&[u8]]) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn start_segment(&mut self, _: &[u8]) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn is_writable(&self) -> bool {
+        true
+    }
+
+    fn record_bytes(&self) -> u64 {
+        0
+    }
+}
+
 /// What a member has promised and accepted for the view that follows its own.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct Vote {
--- a/system/chain/tests/head.rs
+++ b/system/chain/tests/head.rs
@@ -1,13 +1,12 @@
 //! What a head may acknowledge while views come between its ordering and the answers, and what a lease is counted from.
 
-use marblecroft_chain::storage::Storage;
+use marblecroft_chain::storage::NoDisk;
 use marblecroft_chain::{
     Append, AppendReply, Chain, Install, Member, Options, Output, Position, Refused, Replica, Round,
     StateMachine, ToSuccessor, View,
 };
 use marblecroft_log::Recovered;
 use marblecroft_wire::{decode, encode, Bytes};
-use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -36,26 +35,6 @@
     }
 }
 
-struct Memory;
-
-impl Storage for Memory {
-    fn append(&mut self, _: &[&[u8]]) -> io::Result<()> {
-        Ok(())
-    }
-
-    fn start_segment(&mut self, _: &[u8]) -> io::Result<()> {
-        Ok(())
-    }
-
-    fn is_writable(&self) -> bool {
-        true
-    }
-
-    fn record_bytes(&self) -> u64 {
-        0
-    }
-}
-
 type Outputs = Vec<Output<u64>>;
 
 const HEARTBEAT: Duration = Duration::from_millis(100);
@@ -71,10 +50,10 @@
     View { number, voters: members.clone(), members }
 }
 
-fn member_of_three(identity: u64) -> Chain<Count, Memory> {
+fn member_of_three(identity: u64) -> Chain<Count, NoDisk> {
     let founding = Some(view(1, &[1, 2, 3]));
     let replica =
-        Replica::open(Memory, Recovered::default(), Count::default(), identity, founding).expect("opens");
+        Replica::open(NoDisk, Recovered::default(), Count::default(), identity, founding).expect("opens");
     let options = Options {
         heartbeat: HEARTBEAT,
         member_time: Duration::from_millis(10),
@@ -88,7 +67,7 @@
 
 /// A chain's member whose successor holds everything that it is sent.
 struct Driven {
-    chain: Chain<Count, Memory>,
+    chain: Chain<Count, NoDisk>,
     now: Duration,
     finished: Vec<(u64, Result<u64, Refused>)>,
 }
--- a/system/control-core/src/coordinator.rs
+++ b/system/control-core/src/coordinator.rs
@@ -2,6 +2,7 @@
 
 use crate::list_reader::{ListReader, Step};
 use crate::membership::{Membership, TaskCall, MEMBERS_MOST};
+use crate::numbered::Numbered;
 use crate::operator::{self, Caller, Pending};
 use crate::store_views::{Sizes, StoreViews, FIND_HEAD};
 use crate::{Node, Time};
@@ -16,7 +17,6 @@
 use marblecroft_protocol::servers::{Server, ServerList};
 use marblecroft_wire::http::Reply;
 use marblecroft_wire::{decode, encode, Bytes};
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tracing::{info, warn};
@@ -134,11 +134,11 @@
     leads_since: Option<Duration>,
     look_at: Duration,
     reader: ListReader,
-    waiting: HashMap<Token, Waiting>,
-    tokens: Token,
+    waiting: Numbered<Waiting>,
     held: Vec<HeldPull>,
-    calls: HashMap<u64, CallPurpose>,
-    next_call: u64,
+    calls: Numbered<CallPurpose>,
+    /// The list of servers that the chain's notice holds, and the notice that it was read from.
+    list: (Vec<u8>, Option<ServerList>),
     /// When the last input was taken.
     handled_at: Duration,
     out: Vec<Output>,
@@ -167,11 +167,10 @@
             leads_since: None,
             look_at: now,
             reader: ListReader::default(),
-            waiting: HashMap::new(),
-            tokens: 0,
+            waiting: Numbered::default(),
             held: Vec::new(),
-            calls: HashMap::new(),
-            next_call: 0,
+            calls: Numbered::default(),
+            list: (Vec::new(), None),
             handled_at: now,
             out: Vec::new(),
             settings,
@@ -220,14 +219,13 @@
     }
 
     /// Takes notice of a view, and of where its members are found.
-    pub(crate) fn learn(&mut self, view: &View) -> bool {
-        let learnt = self.chain.learn(view);
+    pub(crate) fn learn(&mut self, view: &View) {
+        self.chain.learn(view);
         for address in view.members.iter().chain(&view.voters).map(|member| member.address) {
             if !self.known.contains(&address) {
                 self.known.push(address);
             }
         }
-        learnt
     }
 
     /// Ends the process.
@@ -235,19 +233,10 @@
         self.out.push(Output::Exit);
     }
 
-    /// Calls another coordinator; returns the number of the call.
-    fn call(
-        &mut self,
-        to: SocketAddr,
-        request: CoordinatorRequest,
-        within: Duration,
-        purpose: CallPurpose,
-    ) -> u64 {
-        self.next_call += 1;
-        let call = self.next_call;
-        self.calls.insert(call, purpose);
+    /// Calls another coordinator.
+    fn call(&mut self, to: SocketAddr, request: CoordinatorRequest, within: Duration, purpose: CallPurpose) {
+        let call = self.calls.insert(purpose);
         self.out.push(Output::Call { call, to, request, within });
-        call
     }
 
     /// Calls another coordinator for the membership's task under way.
@@ -266,12 +255,6 @@
         self.call(to, request, within, CallPurpose::Tell);
     }
 
-    fn wait_for(&mut self, waiting: Waiting) -> Token {
-        self.tokens += 1;
-        self.waiting.insert(self.tokens, waiting);
-        self.tokens
-    }
-
     pub(crate) fn submit_for_operator(
         &mut self,
         until: Duration,
@@ -279,17 +262,17 @@
         pending: Pending,
         operation: Operation,
     ) {
-        let token = self.wait_for(Waiting::Operator { caller, pending });
+        let token = self.waiting.insert(Waiting::Operator { caller, pending });
         self.chain.submit(token, operation, until);
     }
 
     pub(crate) fn read_for_operator(&mut self, until: Duration, caller: Caller, pending: Pending) {
-        let token = self.wait_for(Waiting::Operator { caller, pending });
+        let token = self.waiting.insert(Waiting::Operator { caller, pending });
         self.chain.begin_read(token, until);
     }
 
     fn submit_own(&mut self, now: Duration, operation: Operation, waiting: Waiting) {
-        let token = self.wait_for(waiting);
+        let token = self.waiting.insert(waiting);
         self.chain.submit(token, operation, now + OWN_TIME);
     }
 
@@ -346,7 +329,7 @@
     }
 
     fn take_reply(&mut self, now: Duration, call: u64, reply: Option<CoordinatorReply>) {
-        match self.calls.remove(&call) {
+        match self.calls.remove(call) {
             Some(CallPurpose::Chain(chain_call)) => {
                 let reply = match reply {
                     Some(CoordinatorReply::Append(reply)) => Some(reply),
@@ -391,7 +374,7 @@
     }
 
     fn finished(&mut self, now: Duration, token: Token, result: Result<Outcome, Refused>) {
-        match self.waiting.remove(&token) {
+        match self.waiting.remove(token) {
             Some(Waiting::Operator { caller, pending }) => {
                 let reply = match result {
                     Ok(output) => self.operator_finished(&pending, &output),
@@ -416,7 +399,7 @@
     }
 
     fn readable(&mut self, now: Duration, token: Token, result: Result<(), Refused>) {
-        let Some(Waiting::Operator { caller, pending }) = self.waiting.remove(&token) else { return };
+        let Some(Waiting::Operator { caller, pending }) = self.waiting.remove(token) else { return };
         match result {
             Ok(()) => {
                 if let Some((token, reply)) = self.operator_readable(now, caller, pending) {
@@ -500,18 +483,27 @@
         }
     }
 
+    /// Reads the list of servers from the chain's notice, once for each notice.
+    fn read_notice(&mut self) {
+        if self.list.0 != self.chain.notice() {
+            let notice = self.chain.notice().to_vec();
+            let list = decode(&notice).ok();
+            self.list = (notice, list);
+        }
+    }
+
     /// What is newer than what a gateway has.
     fn newer(&self, pull: &Pull) -> Option<Updates> {
         let have = pull.have;
         let control = self.chain.settled()?;
-        let list: Option<ServerList> = decode(self.chain.notice()).ok();
+        let list = self.list.1.as_ref();
         let updates = Updates {
             fresh: true,
             configuration: (control.sequence() > have.configuration).then(|| ConfigurationUpdate {
                 sequence: control.sequence(),
                 body: Bytes(control.body().unwrap_or_default().to_vec()),
             }),
-            servers: list.filter(|list| list.version > have.servers),
+            servers: list.filter(|list| list.version > have.servers).cloned(),
             stores: (control.store_view().number > have.stores).then(|| control.store_view().clone()),
             coordinators: self.coordinators(),
         };
@@ -521,6 +513,10 @@
 
     /// Answers the questions for which there is news, or that were held long enough.
     fn answer_pulls(&mut self, now: Duration) {
+        if self.held.is_empty() {
+            return;
+        }
+        self.read_notice();
         let is_fresh = self.is_fresh(now);
         for held in std::mem::take(&mut self.held) {
             let news = if is_fresh { self.newer(&held.pull) } else { None };
--- a/system/control-core/src/lib.rs
+++ b/system/control-core/src/lib.rs
@@ -6,11 +6,14 @@
 //! and in the clusters of `simulation`.
 #![forbid(unsafe_code)]
 
+mod answers;
 pub mod coordinator;
 pub mod list_reader;
 pub mod member;
 mod membership;
+mod numbered;
 pub mod operator;
+mod patience;
 pub mod store;
 pub mod store_views;
 mod view_change;
--- a/system/control-core/src/membership.rs
+++ b/system/control-core/src/membership.rs
@@ -7,10 +7,12 @@
 //!
 //! A process under way with one [`Task`] begins no other, and gives it up after [`TASK_MOST`].
 
+use crate::answers::Answers;
 use crate::coordinator::Coordinator;
+use crate::patience::{leaves_until, WaitForCopies};
 use marblecroft_chain::agreement::{Phase, Proposal, VoteRequest};
 use marblecroft_chain::storage::Storage;
-use marblecroft_chain::{Member, Status};
+use marblecroft_chain::Member;
 use marblecroft_protocol::coordinator::{CoordinatorReply, CoordinatorRequest};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -30,7 +32,7 @@
 /// Members of a chain at most: every acknowledgement passes them all. Others wait until one fails.
 pub(crate) const MEMBERS_MOST: usize = 7;
 /// A member that has heard nothing of its chain for so long takes its head for failed ...
-pub const HEAD_SILENT: Duration = Duration::from_millis(1000);
+const HEAD_SILENT: Duration = Duration::from_millis(1000);
 /// ... and as much longer for each member before it, so that they do not bid against each other.
 const SILENT_STEP: Duration = Duration::from_millis(350);
 /// A head that answers is left in place for so long all the same; the fault may be another's, which it mends.
@@ -39,17 +41,8 @@
 pub(crate) const STATUS_TIME: Duration = Duration::from_millis(400);
 /// A voter that is no member and has not been heard of for so long is left out, if enough others are left.
 const VOTER_AWAY: Duration = Duration::from_millis(1500);
-/// Complete members that a chain keeps while left-out disks may be sound. A chain of f + 2 still has so many after f losses.
-pub const COMPLETE_LEAST: usize = 2;
-/// How long members that are out of reach are waited for, where the others are too few.
-pub const WAIT_FOR_COPIES: Duration = Duration::from_secs(20);
 /// A task is given up after this time, which is more than all of its calls may take.
 const TASK_MOST: Duration = Duration::from_secs(3);
-/// A process that is told to end tries so long to leave its chain, or half of the time that it has.
-const LEAVE_MOST: Duration = Duration::from_secs(3);
-
-/// The processes that answered, by address.
-pub(crate) type Answers = BTreeMap<SocketAddr, Status>;
 
 /// Why others are asked for their status.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -108,8 +101,7 @@
     leaving: BTreeSet<u64>,
     /// Voters that are no members, and when they were last heard of by this head.
     away: BTreeMap<u64, Duration>,
-    /// The view in which members out of reach are waited for, and since when.
-    pub(crate) waits_since: Option<(u64, Duration)>,
+    pub(crate) waits_for_copies: WaitForCopies,
     /// Members that did not answer before a proposal, and are not asked for their votes.
     pub(crate) silent: BTreeSet<u64>,
     /// When a process that is no member last asked others, with an answer.
@@ -131,7 +123,7 @@
             joining: Vec::new(),
             leaving: BTreeSet::new(),
             away: BTreeMap::new(),
-            waits_since: None,
+            waits_for_copies: WaitForCopies::default(),
             silent: BTreeSet::new(),
             asked_at: None,
             ends_at: None,
@@ -179,7 +171,7 @@
             return;
         }
         self.chain_mut().leave();
-        self.membership.ends_at = Some(now + LEAVE_MOST.min(self.settings().grace_period / 2));
+        self.membership.ends_at = Some(leaves_until(now, self.settings().grace_period));
         info!("told to end: leaves the chain");
     }
 
@@ -255,11 +247,11 @@
     fn ask_all(&mut self, now: Duration, purpose: Purpose, addresses: Vec<SocketAddr>) {
         let waits_for: BTreeSet<SocketAddr> =
             addresses.into_iter().filter(|address| *address != self.settings().address).collect();
-        let (view, answers) = (self.chain().replica().view().number, Answers::new());
+        let (view, answers) = (self.chain().replica().view().number, Answers::default());
         let task =
             self.begin_task(now, Task::Asking { purpose, view, waits_for: waits_for.clone(), answers });
         if waits_for.is_empty() {
-            self.answered(now, purpose, view, Answers::new());
+            self.answered(now, purpose, view, Answers::default());
             return;
         }
         for address in waits_for {
@@ -303,13 +295,13 @@
     /// All have answered, or not in time.
     fn answered(&mut self, now: Duration, purpose: Purpose, asked_in: u64, answers: Answers) {
         self.membership.task = None;
-        let newest = answers.values().map(|status| &status.view).max_by_key(|view| view.number);
+        let newest = answers.iter().map(|(_, status)| &status.view).max_by_key(|view| view.number);
         if let Some(newest) = newest {
             self.learn(newest);
         }
         let view = self.chain().replica().view().clone();
         let is_over = view.number != asked_in;
-        for (address, status) in &answers {
+        for (address, status) in answers.iter() {
             if status.view.number < view.number && view.voters.iter().any(|voter| voter.address == *address) {
                 // Whoever is behind can't vote on what follows.
                 let request = CoordinatorRequest::Vote(VoteRequest::Decided { view: view.clone() });
@@ -379,26 +371,22 @@
         if !self.chain().is_head() {
             return;
         }
-        let own = self.own_member().identity;
+        let own = self.chain().replica().identity();
         let view = self.chain().replica().view().clone();
         let hands_over = self.chain().is_leaving();
         let joining = std::mem::take(&mut self.membership.joining);
         let suspect = self.chain().status(now).suspect;
-        let answer_of = |member: &Member| answers.get(&member.address);
         let is_complete = |member: &&Member| self.is_complete(member, &view, answers);
-        let leaves = |member: &Member| {
-            let says_so = answer_of(member).is_some_and(|status| status.leaving);
-            says_so && self.membership.leaving.contains(&member.identity)
-        };
+        let leaves =
+            |member: &Member| answers.leaves(member) && self.membership.leaving.contains(&member.identity);
         let fails = |member: &Member| {
-            let lost = answer_of(member).is_some_and(|status| status.identity != member.identity);
-            member.identity != own && (lost || Some(member.address) == suspect)
+            member.identity != own && (answers.is_lost(member) || Some(member.address) == suspect)
         };
         // Whoever leaves of its own will stays until enough others hold everything.
         let stay =
             |member: &&Member| !fails(member) && !leaves(member) && (!hands_over || member.identity != own);
         let copies = self.settings().tolerated_machines + 1;
-        let is_durable = |member: &&Member| !answer_of(member).is_some_and(|status| status.leaving);
+        let is_durable = |member: &&Member| !answers.leaves(member);
         let may_leave =
             view.members.iter().filter(stay).filter(is_complete).filter(is_durable).count() >= copies;
         let goes = |member: &&Member| fails(member) || (may_leave && leaves(member));
@@ -408,11 +396,9 @@
             let Some(first) = members.iter().position(|member| is_complete(&member)) else { return };
             members.swap(0, first);
         }
-        let answers_as = |member: &&Member| {
-            answer_of(member).is_some_and(|status| status.identity == member.identity && !status.leaving)
-        };
+        let may_join = |member: &&Member| answers.of(member).is_some_and(|status| !status.leaving);
         // One at a time: each holds everything before the next one votes.
-        let joiner = joining.iter().filter(|member| !view.contains(member.identity)).find(answers_as);
+        let joiner = joining.iter().filter(|member| !view.contains(member.identity)).find(may_join);
         members.extend(joiner.filter(|_| members.len() < MEMBERS_MOST).cloned());
         let voters = self.next_voters(&view, &members, answers);
         if (members != view.members || voters != view.voters)
@@ -423,10 +409,9 @@
     }
 
     fn begin_follow(&mut self, now: Duration) {
-        let status = self.chain().status(now);
         if self.silence(now) >= self.patience() {
-            let others = status.view.members.iter().chain(&status.view.voters);
-            let others = others.map(|member| member.address).collect();
+            let view = self.chain().replica().view();
+            let others = view.members.iter().chain(&view.voters).map(|member| member.address).collect();
             self.ask_all(now, Purpose::Follow, others);
         }
     }
@@ -450,9 +435,7 @@
             return;
         }
         let (view, identity) = (replica.view().clone(), replica.identity());
-        let answering = |member: &Member| {
-            answers.get(&member.address).is_some_and(|status| status.identity == member.identity)
-        };
+        let answering = |member: &Member| answers.of(member).is_some();
         let head_answers = view.head().is_some_and(answering);
         if head_answers && silence < HEAD_ANSWERS + patience {
             return;
--- /dev/null
+++ b/system/control-core/src/patience.rs
@@ -0,0 +1,33 @@
+//! How long a process waits for others before it goes on without them.
+
+use std::time::Duration;
+
+/// Complete members that a chain keeps while left-out disks may be sound. A chain of f + 2 still has so many after f losses.
+pub(crate) const COMPLETE_LEAST: usize = 2;
+/// How long members that are out of reach are waited for, where the others are too few.
+const WAIT_FOR_COPIES: Duration = Duration::from_secs(20);
+/// A process that is told to end tries so long to leave its chain, or half of the time that it has.
+const LEAVE_MOST: Duration = Duration::from_secs(3);
+
+/// Members out of reach that are waited for: the view, and since when.
+#[derive(Default)]
+pub(crate) struct WaitForCopies(Option<(u64, Duration)>);
+
+impl WaitForCopies {
+    /// Nobody is waited for.
+    pub(crate) fn end(&mut self) {
+        self.0 = None;
+    }
+
+    /// Whether those out of reach in the view of this number have been waited for long enough; begins to wait.
+    pub(crate) fn is_over(&mut self, now: Duration, view: u64) -> bool {
+        let since = self.0.filter(|since| since.0 == view).unwrap_or((view, now));
+        self.0 = Some(since);
+        now >= since.1 + WAIT_FOR_COPIES
+    }
+}
+
+/// When a process that is told to end at `now` ends, whether it has left its chain or not.
+pub(crate) fn leaves_until(now: Duration, grace_period: Duration) -> Duration {
+    now + LEAVE_MOST.min(grace_period / 2)
+}
--- a/system/control-core/src/store.rs
+++ b/system/control-core/src/store.rs
@@ -1,5 +1,7 @@
 //! A store: a member of the chain that keeps batch jobs, and where gateways submit them and ask for work.
 
+use crate::numbered::Numbered;
+use crate::patience::leaves_until;
 use crate::{Node, Time};
 use marblecroft_batch::capacity::Capacity;
 use marblecroft_batch::lease::{ItemKey, Leases};
@@ -10,7 +12,6 @@
 use marblecroft_protocol::store::{
     GrantedItem, ItemName, NamedResult, ResultsPage, StoreReply, StoreRequest, WorkReply, WorkRequest,
 };
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tracing::{info, warn};
@@ -35,8 +36,6 @@
 const FORGET_EVERY: Duration = Duration::from_secs(20);
 /// Jobs are kept for so long beyond what is asked. Covers clocks that differ, and jobs that take long.
 const KEPT_BEYOND: Duration = Duration::from_secs(60);
-/// A process that is told to end waits so long to be left out, or half of the time that it has.
-const LEAVE_MOST: Duration = Duration::from_secs(3);
 
 /// The chain of the stores.
 pub type BatchChain<S> = Chain<Batch, S>;
@@ -178,8 +177,8 @@
     settings: Settings,
     chain: BatchChain<S>,
     granting: Granting,
-    waiting: HashMap<Token, Waiting>,
-    recording: HashMap<u64, Recording>,
+    waiting: Numbered<Waiting>,
+    recording: Numbered<Recording>,
     /// Questions that are asked again later.
     held: Vec<(Duration, Reading)>,
     reporting: Reporting,
@@ -187,10 +186,7 @@
     forget_at: Duration,
     /// When the process ends whether it was left out or not, once it was told to.
     ends_at: Option<Duration>,
-    tokens: Token,
-    works: u64,
-    calls: HashMap<u64, CallPurpose>,
-    next_call: u64,
+    calls: Numbered<CallPurpose>,
     out: Vec<Output>,
 }
 
@@ -208,8 +204,8 @@
         Store {
             chain: Chain::new(replica, options, settings.session),
             granting: Granting::default(),
-            waiting: HashMap::new(),
-            recording: HashMap::new(),
+            waiting: Numbered::default(),
+            recording: Numbered::default(),
             held: Vec::new(),
             reporting: Reporting {
                 coordinators: settings.coordinators.clone(),
@@ -221,10 +217,7 @@
             fetching: false,
             forget_at: now + FORGET_EVERY,
             ends_at: None,
-            tokens: 0,
-            works: 0,
-            calls: HashMap::new(),
-            next_call: 0,
+            calls: Numbered::default(),
             out: Vec::new(),
             settings,
         }
@@ -232,7 +225,7 @@
 
     /// The input that says that a call had no answer within its time.
     pub fn no_answer(&self, call: u64) -> Input {
-        match self.calls.get(&call) {
+        match self.calls.get(call) {
             Some(CallPurpose::Report { .. }) => Input::CoordinatorReply { call, reply: None },
             _ => Input::StoreReply { call, reply: None },
         }
@@ -242,19 +235,13 @@
         &self.chain
     }
 
-    fn wait_for(&mut self, waiting: Waiting) -> Token {
-        self.tokens += 1;
-        self.waiting.insert(self.tokens, waiting);
-        self.tokens
-    }
-
     fn submit(&mut self, now: Duration, operation: Operation, waiting: Waiting) {
-        let token = self.wait_for(waiting);
+        let token = self.waiting.insert(waiting);
         self.chain.submit(token, operation, now + CHANGE_TIME);
     }
 
     fn begin_read(&mut self, now: Duration, waiting: Waiting) {
-        let token = self.wait_for(waiting);
+        let token = self.waiting.insert(waiting);
         self.chain.begin_read(token, now + READ_TIME);
     }
 
@@ -262,12 +249,6 @@
         self.out.push(Output::Answer { token, reply });
     }
 
-    fn next_call(&mut self, purpose: CallPurpose) -> u64 {
-        self.next_call += 1;
-        self.calls.insert(self.next_call, purpose);
-        self.next_call
-    }
-
     fn take(&mut self, time: Time, input: Input) {
         let now = time.steady;
         match input {
@@ -278,7 +259,7 @@
                 if self.ends_at.is_none() {
                     info!("told to end: is to be left out of the chain");
                     self.chain.leave();
-                    self.ends_at = Some(now + LEAVE_MOST.min(self.settings.grace_period / 2));
+                    self.ends_at = Some(leaves_until(now, self.settings.grace_period));
                 }
             }
             Input::Wake => {}
@@ -344,9 +325,8 @@
             self.begin_read(now, Waiting::Grant(work));
             return;
         }
-        self.works += 1;
-        let number = self.works;
-        self.recording.insert(number, Recording { work, left: request.finished.len(), failed: None });
+        let recording = Recording { work, left: request.finished.len(), failed: None };
+        let number = self.recording.insert(recording);
         for finished in request.finished {
             let (job, item) = (finished.name.job, finished.name.item);
             let operation = Operation::Record { job, item, outcome: finished.outcome };
@@ -355,7 +335,7 @@
     }
 
     fn take_store_reply(&mut self, time: Time, call: u64, reply: Option<StoreReply>) {
-        match self.calls.remove(&call) {
+        match self.calls.remove(call) {
             Some(CallPurpose::Chain(chain_call)) => {
                 let reply = match reply {
                     Some(StoreReply::Append(reply)) => Some(reply),
@@ -381,7 +361,7 @@
     }
 
     fn take_coordinator_reply(&mut self, now: Duration, call: u64, reply: Option<CoordinatorReply>) {
-        let Some(CallPurpose::Report { to }) = self.calls.remove(&call) else { return };
+        let Some(CallPurpose::Report { to }) = self.calls.remove(call) else { return };
         self.reporting.under_way = false;
         self.reporting.next_at = now + REPORT_EVERY;
         match reply {
@@ -407,7 +387,7 @@
         }
         if let Some(source) = directive.fetch_from.filter(|_| !self.fetching) {
             self.fetching = true;
-            let call = self.next_call(CallPurpose::Fetch { source });
+            let call = self.calls.insert(CallPurpose::Fetch { source });
             let (request, within) = (StoreRequest::Fetch, FETCH_TIME);
             self.out.push(Output::CallStore { call, to: source, request, within });
         }
@@ -428,7 +408,7 @@
             address: self.settings.address,
             status: self.chain.status(now),
         };
-        let call = self.next_call(CallPurpose::Report { to });
+        let call = self.calls.insert(CallPurpose::Report { to });
         let request = CoordinatorRequest::Report(report);
         self.out.push(Output::CallCoordinator { call, to, request, within: REPORT_TIME });
     }
@@ -442,7 +422,7 @@
                         ToSuccessor::Append(append) => StoreRequest::Append(append),
                         ToSuccessor::Install(install) => StoreRequest::Install(install),
                     };
-                    let call = self.next_call(CallPurpose::Chain(call));
+                    let call = self.calls.insert(CallPurpose::Chain(call));
                     self.out.push(Output::CallStore { call, to: to.address, request, within });
                 }
                 ChainOutput::Reply { token, reply } => self.answer(token, StoreReply::Append(reply)),
@@ -453,7 +433,7 @@
     }
 
     fn finished(&mut self, now: Duration, token: Token, result: Result<Outcome, Refused>) {
-        match self.waiting.remove(&token) {
+        match self.waiting.remove(token) {
             Some(Waiting::Submit { token }) => {
                 let reply = match result {
                     Ok(Outcome::Accepted) => StoreReply::Accepted,
@@ -479,13 +459,13 @@
 
     /// A result of a gateway's was recorded, or not.
     fn recorded(&mut self, now: Duration, number: u64, failed: Option<Refused>) {
-        let Some(recording) = self.recording.get_mut(&number) else { return };
+        let Some(recording) = self.recording.get_mut(number) else { return };
         recording.left -= 1;
         recording.failed = failed.or(recording.failed.take());
         if recording.left > 0 {
             return;
         }
-        let Some(recording) = self.recording.remove(&number) else { return };
+        let Some(recording) = self.recording.remove(number) else { return };
         match recording.failed {
             Some(e) => self.answer(recording.work.token, refused(e)),
             None => self.begin_read(now, Waiting::Grant(recording.work)),
@@ -493,7 +473,7 @@
     }
 
     fn readable(&mut self, time: Time, token: Token, result: Result<(), Refused>) {
-        let Some(waiting) = self.waiting.remove(&token) else { return };
+        let Some(waiting) = self.waiting.remove(token) else { return };
         if let Err(e) = result {
             let token = match waiting {
                 Waiting::Refuse { token, .. } | Waiting::Body { token, .. } => token,
--- a/system/control-core/src/store_views.rs
+++ b/system/control-core/src/store_views.rs
@@ -1,7 +1,7 @@
 //! Which stores form the chain that keeps batch jobs. The coordinators decide it: every view of the stores' chain is an
 //! operation of their own chain, and is headed by a store that was complete in the view before.
 
-use crate::membership::{COMPLETE_LEAST, WAIT_FOR_COPIES};
+use crate::patience::{WaitForCopies, COMPLETE_LEAST};
 use marblecroft_chain::{Member, View};
 use marblecroft_protocol::coordinator::StoreReport;
 use std::collections::{BTreeMap, BTreeSet};
@@ -39,8 +39,7 @@
     first: Option<Duration>,
     /// Since when stores may report to this process.
     since: Duration,
-    /// The view in which members out of reach are waited for, and since when.
-    waits_since: Option<(u64, Duration)>,
+    waits_for_copies: WaitForCopies,
     /// The store that is to join next, and the member whose state it fetches ahead.
     joining: Option<(SocketAddr, SocketAddr)>,
 }
@@ -96,10 +95,13 @@
 
     /// Whether all members of this view hold everything.
     pub fn is_whole(&self, now: Duration, view: &View) -> bool {
-        view.members.iter().all(|member| {
-            self.report_of(now, member)
-                .is_some_and(|report| report.status.view.number == view.number && report.status.complete)
-        })
+        view.members.iter().all(|member| self.is_complete(now, member, view))
+    }
+
+    /// Whether a member holds everything that was acknowledged in this view.
+    fn is_complete(&self, now: Duration, member: &Member, view: &View) -> bool {
+        self.report_of(now, member)
+            .is_some_and(|report| report.status.complete && report.status.view.number == view.number)
     }
 
     /// The members that follow `current`, if they should be others.
@@ -125,10 +127,7 @@
         retired: &impl Fn(&str) -> bool,
     ) -> Option<Vec<Member>> {
         let works: Vec<&Member> = self.working(now, current);
-        let is_complete = |member: &Member| {
-            self.report_of(now, member)
-                .is_some_and(|report| report.status.complete && report.status.view.number == current.number)
-        };
+        let is_complete = |member: &Member| self.is_complete(now, member, current);
         let goes = |member: &Member| {
             retired(&member.node) || self.report_of(now, member).is_some_and(|report| report.status.leaving)
         };
@@ -195,13 +194,10 @@
             .iter()
             .any(|member| !reports(member) && !self.is_lost(now, member) && !retired(&member.node));
         if !out_of_reach || complete.len() >= COMPLETE_LEAST.min(sizes.copies) {
-            self.waits_since = None;
+            self.waits_for_copies.end();
             return true;
         }
-        let since =
-            self.waits_since.filter(|since| since.0 == current.number).unwrap_or((current.number, now));
-        self.waits_since = Some(since);
-        now >= since.1 + WAIT_FOR_COPIES
+        self.waits_for_copies.is_over(now, current.number)
     }
 
     /// The members that report and that no other member suspects.
--- a/system/control-core/src/view_change.rs
+++ b/system/control-core/src/view_change.rs
@@ -1,10 +1,12 @@
 //! Changes of the coordinators' view: who votes on the next one, whether enough copies are left, and the proposal itself.
 
+use crate::answers::Answers;
 use crate::coordinator::Coordinator;
-use crate::membership::{Answers, Asks, Task, TaskCall, COMPLETE_LEAST, STATUS_TIME, WAIT_FOR_COPIES};
+use crate::membership::{Asks, Task, TaskCall, STATUS_TIME};
+use crate::patience::COMPLETE_LEAST;
 use marblecroft_chain::agreement::{next_ballot, Outcome, Phase, Proposal, Step, VoteReply, VoteRequest};
 use marblecroft_chain::storage::Storage;
-use marblecroft_chain::{Member, Status, View};
+use marblecroft_chain::{Member, View};
 use marblecroft_protocol::coordinator::CoordinatorRequest;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -17,11 +19,8 @@
 impl<S: Storage> Coordinator<S> {
     /// Whether a member holds everything that was acknowledged in this view: this process, or one that says so.
     pub(crate) fn is_complete(&self, member: &Member, view: &View, answers: &Answers) -> bool {
-        let holds = |status: &Status| {
-            status.identity == member.identity && status.complete && status.view.number == view.number
-        };
         member.identity == self.chain().replica().identity()
-            || answers.get(&member.address).is_some_and(holds)
+            || answers.of(member).is_some_and(|status| status.complete && status.view.number == view.number)
     }
 
     /// Who votes after `view`, where these are to be the members. Of the others those go that are lost, do not answer or leave,
@@ -31,17 +30,15 @@
         let mut voters = view.voters.clone();
         voters.extend(members.iter().filter(|member| !view.has_voter(member.identity)).cloned());
         let holds = |voter: &Member| members.iter().any(|member| member.identity == voter.identity);
-        let answer_of = |voter: &Member| answers.get(&voter.address);
-        let is_lost =
-            |voter: &Member| answer_of(voter).is_some_and(|status| status.identity != voter.identity);
+        let is_lost = |voter: &Member| answers.is_lost(voter);
         let is_back = |voter: &Member| {
-            let identity = answer_of(voter).map(|status| status.identity);
+            let identity = answers.at(voter).map(|status| status.identity);
             is_lost(voter) && members.iter().any(|member| Some(member.identity) == identity)
         };
         // Its machine votes as another one.
         voters.retain(|voter| !is_back(voter));
-        let is_silent = |voter: &Member| answer_of(voter).is_none();
-        let leaves = |voter: &Member| answer_of(voter).is_some_and(|status| status.leaving);
+        let is_silent = |voter: &Member| answers.at(voter).is_none();
+        let leaves = |voter: &Member| answers.leaves(voter);
         let reasons: [&dyn Fn(&Member) -> bool; 3] = [&is_lost, &is_silent, &leaves];
         for goes in reasons {
             while voters.len() > least {
@@ -62,23 +59,15 @@
         members: &[Member],
         answers: &Answers,
     ) -> bool {
-        let answer_of = |member: &Member| answers.get(&member.address);
         let is_complete = |member: &&Member| self.is_complete(member, view, answers);
         let stays = |member: &Member| members.iter().any(|other| other.identity == member.identity);
-        let is_lost =
-            |member: &Member| answer_of(member).is_some_and(|status| status.identity != member.identity);
-        let leaves_out = view.members.iter().any(|member| !stays(member) && !is_lost(member));
+        let leaves_out = view.members.iter().any(|member| !stays(member) && !answers.is_lost(member));
         let holders = members.iter().filter(is_complete).count();
         if !leaves_out || holders >= COMPLETE_LEAST.min(self.settings().tolerated_machines + 1) {
-            self.membership.waits_since = None;
+            self.membership.waits_for_copies.end();
             return true;
         }
-        let since = *self.membership.waits_since.get_or_insert((view.number, now));
-        if since.0 != view.number {
-            self.membership.waits_since = Some((view.number, now));
-            return false;
-        }
-        now >= since.1 + WAIT_FOR_COPIES
+        self.membership.waits_for_copies.is_over(now, view.number)
     }
 
     /// Begins to have `members` decided as the next view.
@@ -94,14 +83,11 @@
         let rank = current.voters.iter().position(|voter| voter.identity == own).unwrap_or(0);
         let instance = current.number + 1;
         let promised = if replica.vote().instance == instance { replica.vote().promised } else { 0 };
-        let answer_of = |member: &Member| answers.get(&member.address).map(|status| status.identity);
-        // The machine answers, and its disk is another one.
-        let is_lost =
-            |member: &&Member| answer_of(member).is_some_and(|identity| identity != member.identity);
-        let lost = current.voters.iter().filter(is_lost).map(|member| member.identity).collect();
-        let silent = |member: &&Member| member.identity != own && answer_of(member) != Some(member.identity);
-        let silent: BTreeSet<u64> =
-            current.voters.iter().filter(silent).map(|member| member.identity).collect();
+        let identities = |of: &dyn Fn(&Member) -> bool| -> BTreeSet<u64> {
+            current.voters.iter().filter(|voter| of(voter)).map(|voter| voter.identity).collect()
+        };
+        let lost = identities(&|voter| answers.is_lost(voter));
+        let silent = identities(&|voter| voter.identity != own && answers.of(voter).is_none());
         let view = View { number: instance, members, voters };
         info!("proposes view {}: {}", view.number, view.addresses());
         let proposal = Proposal::new(current, view, next_ballot(promised, rank), lost);
--- a/system/control-plane/src/disk.rs
+++ b/system/control-plane/src/disk.rs
@@ -1,6 +1,6 @@
 //! Opens the log of a member of a chain, or stands in for one where the machine has no disk.
 
-use marblecroft_chain::storage::Storage;
+use marblecroft_chain::storage::NoDisk;
 use marblecroft_chain::{Replica, StateMachine, View};
 use marblecroft_control_core::member;
 use marblecroft_log::{Log, Recovered};
@@ -17,27 +17,6 @@
     member::open(log, recovered, draw_number(), founding)
 }
 
-/// What a member keeps on a machine without a disk: nothing.
-pub struct NoDisk;
-
-impl Storage for NoDisk {
-    fn append(&mut self, _: &[&[u8]]) -> io::Result<()> {
-        Ok(())
-    }
-
-    fn start_segment(&mut self, _: &[u8]) -> io::Result<()> {
-        Ok(())
-    }
-
-    fn is_writable(&self) -> bool {
-        true
-    }
-
-    fn record_bytes(&self) -> u64 {
-        0
-    }
-}
-
 /// An empty state on a machine without a disk.
 pub fn without<M: StateMachine + Default>(founding: Option<(u64, View)>) -> io::Result<Replica<M, NoDisk>> {
     member::open(NoDisk, Recovered::default(), draw_number(), founding)
