Drop a variant of the simulation that nothing draws, and what stood twice in it

Cause: Replace { planned: true } was never drawn, and would have added two machines; head_of and tail_of looked for the newest view each for itself; search and replay made their clusters line by line.

Change: Replace has no variant, newest_view and spec_of serve both. Scenarios are the same, assertions untouched.

--- a/system/simulation/src/faults.rs
+++ b/system/simulation/src/faults.rs
@@ -86,7 +86,6 @@
     /// It is gone for good, and an empty one comes at another address.
     Replace {
         target: Target,
-        planned: bool,
     },
     /// An empty machine comes.
     Add {
@@ -229,7 +228,7 @@
                 world.fault_at(at, Fault::Kill { target, power: false, back_after });
             }
         }
-        Fault::Replace { planned, .. } => replace(world, machine, planned),
+        Fault::Replace { .. } => replace(world, machine),
         Fault::SlowDisk { sync, time, .. } => {
             lose(world, machine, time);
             world.machines[machine].disk.set_sync_time(sync);
@@ -344,7 +343,7 @@
     }
 }
 
-fn replace(world: &mut World, machine: usize, planned: bool) {
+fn replace(world: &mut World, machine: usize) {
     let role = world.machines[machine].role;
     let lost = world.lost().into_iter().filter(|lost| world.machines[*lost].role == role).count();
     // Machines that never come back must leave a majority of the voters, which takes 2f + 1 of them.
@@ -356,18 +355,9 @@
     }
     let added = world.add_machine(role);
     lose(world, added, Duration::from_secs(1));
-    if planned {
-        world.restart(added, Duration::ZERO);
-        world.terminate(machine);
-        let target = Target::Machine(machine);
-        world.fault_at(world.now + Duration::from_secs(8), Fault::Replace { target, planned: false });
-        // The call above adds no other one: the machine is only taken away.
-        world.machines[machine].lost_until = world.now + Duration::from_secs(8);
-    } else {
-        world.kill(machine, true);
-        world.machines[machine].gone = true;
-        world.restart(added, Duration::from_secs(1));
-    }
+    world.kill(machine, true);
+    world.machines[machine].gone = true;
+    world.restart(added, Duration::from_secs(1));
 }
 
 /// Troubles of one run, at their times.
@@ -415,7 +405,7 @@
         }
         9 => Fault::Split { role: draw_role(rng), time: seconds(rng, 1.0, 12.0) },
         10 => Fault::Terminate { target },
-        11 => Fault::Replace { target, planned: false },
+        11 => Fault::Replace { target },
         12 => Fault::KillAll { power },
         13 => Fault::WipeAndPowerOff { disks: spec.tolerated },
         14 => Fault::SlowDisk { target, sync: seconds(rng, 0.02, 2.0), time: seconds(rng, 1.0, 8.0) },
--- a/system/simulation/src/main.rs
+++ b/system/simulation/src/main.rs
@@ -61,6 +61,22 @@
 const STORES: usize = 4;
 const TOLERATED: usize = 1;
 
+fn spec_of(
+    seed: u64,
+    coordinators: Option<usize>,
+    stores: Option<usize>,
+    tolerated: Option<usize>,
+    without_disk: Option<usize>,
+) -> Spec {
+    Spec {
+        seed,
+        coordinators: coordinators.unwrap_or(COORDINATORS),
+        stores: stores.unwrap_or(STORES),
+        tolerated: tolerated.unwrap_or(TOLERATED),
+        without_disk: without_disk.unwrap_or(0),
+    }
+}
+
 fn search(from: u64, seeds: u64, spec: Spec, threads: usize) -> ExitCode {
     let (next, failed) = (AtomicU64::new(from), Mutex::new(Vec::new()));
     let counts = Mutex::new(BTreeMap::<&str, u64>::new());
@@ -121,13 +137,7 @@
 fn main() -> ExitCode {
     match MarblecroftSimulation::from_env_or_exit().subcommand {
         MarblecroftSimulationCmd::Search(s) => {
-            let spec = Spec {
-                seed: 0,
-                coordinators: s.coordinators.unwrap_or(COORDINATORS),
-                stores: s.stores.unwrap_or(STORES),
-                tolerated: s.tolerated.unwrap_or(TOLERATED),
-                without_disk: s.without_disk.unwrap_or(0),
-            };
+            let spec = spec_of(0, s.coordinators, s.stores, s.tolerated, s.without_disk);
             search(s.from.unwrap_or(1), s.seeds.unwrap_or(1000), spec, s.threads.unwrap_or(4))
         }
         MarblecroftSimulationCmd::Days(d) => {
@@ -142,13 +152,7 @@
         }
         MarblecroftSimulationCmd::Replay(r) => {
             mapledeck_events::begin("simulation", mapledeck_events::Log::default());
-            let spec = Spec {
-                seed: r.seed,
-                coordinators: r.coordinators.unwrap_or(COORDINATORS),
-                stores: r.stores.unwrap_or(STORES),
-                tolerated: r.tolerated.unwrap_or(TOLERATED),
-                without_disk: r.without_disk.unwrap_or(0),
-            };
+            let spec = spec_of(r.seed, r.coordinators, r.stores, r.tolerated, r.without_disk);
             let verdict = faults::run(spec, &Plan::draw(&spec));
             verdict.found.iter().for_each(|found| println!("FOUND {found}"));
             if verdict.found.is_empty() {
--- a/system/simulation/src/world.rs
+++ b/system/simulation/src/world.rs
@@ -878,20 +878,21 @@
         (0..self.machines.len()).map(describe).collect()
     }
 
+    /// The newest view that a process of this role knows.
+    fn newest_view(&self, role: Role) -> Option<View> {
+        let machines = (0..self.machines.len()).filter(|machine| self.machines[*machine].role == role);
+        let views = machines.filter_map(|machine| self.status(machine)).map(|status| status.view);
+        views.max_by_key(|view| view.number)
+    }
+
     /// The machine whose process heads the newest view of a role.
     pub fn head_of(&self, role: Role) -> Option<usize> {
-        let statuses = (0..self.machines.len()).filter(|machine| self.machines[*machine].role == role);
-        let newest =
-            statuses.filter_map(|machine| self.status(machine)).max_by_key(|status| status.view.number)?;
-        self.machine_at(newest.view.head()?.address)
+        self.machine_at(self.newest_view(role)?.head()?.address)
     }
 
     /// The last member of the newest view of a role.
     pub fn tail_of(&self, role: Role) -> Option<usize> {
-        let statuses = (0..self.machines.len()).filter(|machine| self.machines[*machine].role == role);
-        let newest =
-            statuses.filter_map(|machine| self.status(machine)).max_by_key(|status| status.view.number)?;
-        self.machine_at(newest.view.members.last()?.address)
+        self.machine_at(self.newest_view(role)?.members.last()?.address)
     }
 
     /// Machines that count as lost at this moment.
--- a/system/simulation/tests/cut_off.rs
+++ b/system/simulation/tests/cut_off.rs
@@ -62,7 +62,7 @@
     for (number, fault) in all_cuts().into_iter().step_by(3).enumerate() {
         let target = Target::Tail(Role::Coordinator);
         for (other, at) in [
-            (Fault::Replace { target, planned: false }, 5.0),
+            (Fault::Replace { target }, 5.0),
             (Fault::Add { role: Role::Coordinator }, 6.2),
             (Fault::Terminate { target }, 5.9),
         ] {
--- a/system/simulation/tests/second_loss.rs
+++ b/system/simulation/tests/second_loss.rs
@@ -18,7 +18,7 @@
 fn losses(target: Target) -> [Fault; 4] {
     [
         Fault::Wipe { target, back_after: seconds(0.3) },
-        Fault::Replace { target, planned: false },
+        Fault::Replace { target },
         Fault::Damage { target },
         Fault::Terminate { target },
     ]
@@ -75,7 +75,7 @@
         for role in [Role::Coordinator, Role::Store] {
             let wipe = |target| Fault::Wipe { target, back_after: seconds(0.5) };
             let both = [wipe(Target::Head(role)), wipe(Target::Tail(role))];
-            let repaired = Fault::Replace { target: Target::Any(role), planned: false };
+            let repaired = Fault::Replace { target: Target::Any(role) };
             let mut faults = vec![(6.0, repaired)];
             faults.extend(both.into_iter().take(size.1).map(|fault| (6.0 + STEP, fault)));
             let name = format!("{repaired:?}, then {} disks", size.1);
