Suspend a member whose write failed until it has read its storage anew

Cause: a write that returned an error may be durable all the same. Found by reading: a log whose start_segment had failed still took records, into the older segment under the newer one's number, and left the failed segment's file behind.

Change: Replica::is_suspended. A suspended member votes on nothing, accepts nothing and is not complete; Chain::advance reads the storage anew, starts a segment with what it found, and only then goes on; a storage that lacks something it had confirmed makes it another member. A suspended head of coordinators or stores is replaced without the grace of a responsive one. The log takes nothing after a failed start_segment. Replica::open needs no empty state any more (StateMachine is Default): golden tests name the type, their fixtures are untouched. The cluster test's final recovery lets the timers of every process go off, as they do; it looked only at heads before, and a suspended member never woke.

--- a/control-plane/chain-replication/src/agreement/voter.rs
+++ b/control-plane/chain-replication/src/agreement/voter.rs
@@ -9,11 +9,13 @@
 impl<M: StateMachine, S: Storage> Replica<M, S> {
     /// Replies to a request for this member's vote. The vote is durable on return.
     pub fn handle_vote_request(&mut self, request: &VoteRequest) -> VoteReply {
-        // A failed storage counts as no vote. It may contain the vote all the same, which only makes this voter stricter.
+        // A failed write counts as no vote. It may be found all the same when the storage is read anew; until then this member
+        // is suspended.
         self.vote_on(request).unwrap_or(VoteReply::Rejected)
     }
 
     fn vote_on(&mut self, request: &VoteRequest) -> io::Result<VoteReply> {
+        self.check_not_suspended()?;
         let (instance, proposal_number) = match request {
             VoteRequest::Decided { view } => {
                 self.install_view(view)?;
--- a/control-plane/chain-replication/src/chain.rs
+++ b/control-plane/chain-replication/src/chain.rs
@@ -15,6 +15,9 @@
 //! A member has one call in flight at a time, so the entries of its successor are never reordered by this member.
 
 mod rounds;
+mod storage_recovery;
+
+pub use storage_recovery::random_identity;
 
 use crate::config::Config;
 use crate::error::ProposalError;
@@ -33,6 +36,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
+use storage_recovery::StorageRecovery;
 use tracing::{info, warn};
 
 /// What this member was when [`Chain`] last looked; a difference means that some waiters can no longer be served.
@@ -79,6 +83,7 @@
     peer_positions: HashMap<u64, Position>,
     broadcast: Bytes,
     draining: bool,
+    storage_recovery: StorageRecovery,
 }
 
 impl<M: StateMachine, S: Storage> Chain<M, S> {
@@ -105,6 +110,7 @@
             peer_positions: HashMap::new(),
             broadcast: Bytes::default(),
             draining: false,
+            storage_recovery: StorageRecovery::new(session),
         }
     }
 
@@ -208,6 +214,9 @@
     /// Returns when [`Chain::advance`] has something to do without further input.
     pub fn next_wake(&self) -> Duration {
         let deadline = self.pending.next_deadline().unwrap_or(Duration::MAX);
+        if self.replica.is_suspended() {
+            return self.storage_recovery.next_attempt_at().min(deadline);
+        }
         if self.in_flight.is_some() || !self.is_head() {
             return deadline;
         }
@@ -224,8 +233,16 @@
 
     /// Begins what is due. It is called after every input, until it adds no more outputs.
     pub fn advance(&mut self, now: Duration, outputs: &mut Vec<Output<M::Output>>) {
+        if self.replica.is_suspended() {
+            self.storage_recovery.attempt_if_due(now, &mut self.replica);
+        }
         self.on_role_change(outputs);
         self.pending.expire(now, outputs);
+        if self.replica.is_suspended() {
+            let failed = |token| Output::Reply { token, reply: AppendReply::StorageError };
+            outputs.extend(std::mem::take(&mut self.upstream_tokens).into_iter().map(failed));
+            return;
+        }
         if self.in_flight.is_some() {
             return;
         }
--- a/control-plane/chain-replication/src/error.rs
+++ b/control-plane/chain-replication/src/error.rs
@@ -43,6 +43,10 @@
         Snapshot {
             display("state")
         }
+        /// A write failed earlier, and the storage has not been read anew since.
+        Suspended {
+            display("a write failed earlier; the storage is yet to be read anew")
+        }
         /// The storage returned an error.
         Storage(error: io::Error) {
             display("{}", error)
@@ -56,6 +60,7 @@
     fn from(error: RecoveryError) -> io::Error {
         match error {
             RecoveryError::Storage(error) => error,
+            RecoveryError::Suspended => io::Error::other(error),
             unreadable => io::Error::new(io::ErrorKind::InvalidData, unreadable),
         }
     }
--- a/control-plane/chain-replication/src/lib.rs
+++ b/control-plane/chain-replication/src/lib.rs
@@ -50,7 +50,7 @@
 //! # fn main() -> Result<(), Box<dyn std::error::Error>> {
 //! let member = Member { address: "127.0.0.1:7000".parse()?, identity: 1, node_name: String::new() };
 //! let founding = View { number: 1, members: vec![member.clone()], voters: vec![member] };
-//! let replica = Replica::open(NullStorage, Recovered::default(), Sum::default(), 1, Some(founding))?;
+//! let replica = Replica::<Sum, _>::open(NullStorage, Recovered::default(), 1, Some(founding))?;
 //! let config = Config {
 //!     heartbeat_interval: Duration::from_millis(150),
 //!     append_timeout: Duration::from_millis(350),
--- a/control-plane/chain-replication/src/replica.rs
+++ b/control-plane/chain-replication/src/replica.rs
@@ -2,10 +2,17 @@
 //! next view.
 //!
 //! Every change is written to [`Storage`] before it is made in memory, and so before any message can report it.
+//!
+//! **A write that fails** may be durable all the same, and then it comes back after a restart: the member would act on a
+//! vote or a view that it had denied. Retrying the sync does not tell, as the operating system may report an error once and
+//! drop the data (PostgreSQL's fsync findings, 2018). So the member is [suspended](Replica::is_suspended): it votes on
+//! nothing, accepts nothing and is not complete, as if its process had ended. It goes on after it has read its storage anew
+//! and started a segment with what it found, as a new process would.
 
 mod persistence;
 mod recovery;
 mod replication;
+mod storage_health;
 
 use crate::error::RecoveryError;
 use crate::message::Install;
@@ -16,6 +23,7 @@
 use crate::view::{Successor, View};
 use marblecroft_rpc::{decode, encode, Bytes};
 use std::io;
+use storage_health::StorageHealth;
 
 /// The result of an [`Append`](crate::Append) or [`Install`] at this member.
 #[derive(Debug)]
@@ -43,6 +51,7 @@
     /// The newest position that every member is known to have reached.
     committed: Position,
     storage: S,
+    storage_health: StorageHealth,
     recent: RecentEntries,
     restore_count: u64,
     /// The view in which the predecessor has brought this member to its own state. From then on positions only grow.
@@ -75,17 +84,23 @@
         self.position
     }
 
-    /// Whether this member has, as far as it knows, everything that was acknowledged in its view and before.
+    /// Whether this member has, as far as it knows, everything that was acknowledged in its view and before, and works.
     pub fn is_complete(&self) -> bool {
-        self.complete
+        self.complete && !self.is_suspended()
+    }
+
+    /// Whether a write has failed and the storage has not been read anew since. The member does nothing meanwhile.
+    pub fn is_suspended(&self) -> bool {
+        self.storage_health != StorageHealth::Consistent
     }
 
     /// Whether this member orders operations.
     pub fn is_head(&self) -> bool {
-        self.complete && self.view.head().is_some_and(|head| head.identity == self.identity)
+        self.is_complete() && self.view.head().is_some_and(|head| head.identity == self.identity)
     }
 
-    /// Returns how often the state was replaced by another member's. Entries from before a replacement may be gone.
+    /// Returns how often the state was replaced, by another member's or by what was read anew from the storage. Entries from
+    /// before a replacement may be gone.
     pub fn restore_count(&self) -> u64 {
         self.restore_count
     }
@@ -112,7 +127,7 @@
     ///
     /// # Errors
     ///
-    /// Returns the storage's error; nothing was applied then, but the entry may be found by a later recovery.
+    /// Returns the storage's error; the member is suspended then, and may find the entry when it reads its storage anew.
     pub fn propose(&mut self, operations: &Vec<M::Operation>) -> io::Result<Vec<M::Output>> {
         let entry = encode(operations);
         self.persist(&[Record::Entry(Bytes(entry.clone()))])?;
@@ -150,7 +165,7 @@
     ///
     /// # Errors
     ///
-    /// Returns the storage's error; the current view stays in force then.
+    /// Returns the storage's error; the member is suspended then, and may find the view when it reads its storage anew.
     pub fn install_view(&mut self, view: &View) -> io::Result<bool> {
         if view.number <= self.view.number {
             return Ok(false);
--- a/control-plane/chain-replication/src/replica/persistence.rs
+++ b/control-plane/chain-replication/src/replica/persistence.rs
@@ -1,6 +1,9 @@
 //! Writing a replica's state: records, and checkpoints that replace all records before them.
 
+use super::storage_health::{Progress, StorageHealth};
 use super::Replica;
+use crate::error::RecoveryError;
+use crate::position::Position;
 use crate::state_machine::StateMachine;
 use crate::storage::{Checkpoint, Record, Storage, Vote};
 use marblecroft_rpc::{encode, Bytes};
@@ -27,15 +30,32 @@
         self.storage.start_segment(&checkpoint)
     }
 
-    /// Writes changes that are yet to be made in memory. After an error the storage may contain them or not; the checkpoint
-    /// that the next change begins with settles it.
+    /// Writes changes that are yet to be made in memory. After an error the storage may contain them or not, and the member
+    /// is suspended.
     pub(super) fn persist(&mut self, records: &[Record]) -> io::Result<()> {
+        self.check_not_suspended()?;
         if !self.storage.is_writable() || self.storage.record_bytes() > MAX_SEGMENT_BYTES {
+            // The older segment and the new one contain the same state, so an error here leaves nothing unknown.
             self.start_segment()?;
         }
         let encoded: Vec<Vec<u8>> = records.iter().map(encode).collect();
         let records: Vec<&[u8]> = encoded.iter().map(Vec::as_slice).collect();
-        self.storage.append(&records)
+        let written = self.storage.append(&records);
+        if written.is_err() {
+            self.storage_health = StorageHealth::OutcomeUnknown(self.progress());
+        }
+        written
+    }
+
+    /// Writes a checkpoint of a state in memory that the storage does not contain yet. After an error either state may be
+    /// there, and the member is suspended.
+    pub(super) fn persist_replaced_state(&mut self) -> io::Result<()> {
+        let written = self.start_segment();
+        if written.is_err() {
+            let confirmed = Progress { position: Position::default(), ..self.progress() };
+            self.storage_health = StorageHealth::OutcomeUnknown(confirmed);
+        }
+        written
     }
 
     /// Replaces the vote on the next view.
@@ -44,4 +64,20 @@
         self.vote = vote;
         Ok(())
     }
+
+    pub(super) fn progress(&self) -> Progress {
+        Progress {
+            view: self.view.number,
+            promised: (self.vote.instance, self.vote.promised),
+            position: self.position,
+        }
+    }
+
+    /// Fails while the member is suspended.
+    pub(crate) fn check_not_suspended(&self) -> Result<(), RecoveryError> {
+        if self.is_suspended() {
+            return Err(RecoveryError::Suspended);
+        }
+        Ok(())
+    }
 }
--- a/control-plane/chain-replication/src/replica/recovery.rs
+++ b/control-plane/chain-replication/src/replica/recovery.rs
@@ -1,5 +1,6 @@
 //! Recovery: the checkpoint is restored, the records behind it are replayed, and a new checkpoint is written.
 
+use super::storage_health::{Progress, StorageHealth};
 use super::Replica;
 use crate::error::RecoveryError;
 use crate::position::Position;
@@ -9,9 +10,10 @@
 use crate::view::View;
 use marblecroft_rpc::decode;
 use marblecroft_wal::Recovered;
+use tracing::warn;
 
 impl<M: StateMachine, S: Storage> Replica<M, S> {
-    /// Recovers a member from what its storage contained. Where there was nothing, the member begins with the state `empty`
+    /// Recovers a member from what its storage contained. Where there was nothing, the member begins with an empty state
     /// under this `identity`, and, if it founds the chain, as a complete member of the view `founding`; a stored identity
     /// and view take precedence.
     ///
@@ -21,7 +23,6 @@
     pub fn open(
         storage: S,
         recovered: Recovered,
-        empty: M,
         identity: u64,
         founding: Option<View>,
     ) -> Result<Replica<M, S>, RecoveryError> {
@@ -31,22 +32,73 @@
             view: founding.unwrap_or_default(),
             vote: Vote::default(),
             position: Position::default(),
-            machine: empty,
+            machine: M::default(),
             committed: Position::default(),
             storage,
+            storage_health: StorageHealth::Consistent,
             recent: RecentEntries::default(),
             restore_count: 0,
             synchronized_in_view: 0,
         };
+        replica.load(recovered)?;
+        // After a power failure the last segment may end in a torn record, behind which nothing may be appended.
+        replica.start_segment()?;
+        Ok(replica)
+    }
+
+    /// Ends the suspension that a failed write has begun: reads the storage anew, and starts a segment with what was found.
+    ///
+    /// A storage that lacks something it had confirmed is as good as lost: the member begins empty, under the identity
+    /// `replacement`, which must be drawn at random.
+    ///
+    /// # Errors
+    ///
+    /// The storage cannot be read, decoded or written; the member stays suspended.
+    pub fn recover_storage(&mut self, replacement: u64) -> Result<(), RecoveryError> {
+        if let StorageHealth::OutcomeUnknown(confirmed) = self.storage_health {
+            self.read_storage(&confirmed, replacement)?;
+            self.storage_health = StorageHealth::NotDurable;
+        }
+        self.start_segment()?;
+        self.storage_health = StorageHealth::Consistent;
+        Ok(())
+    }
+
+    fn read_storage(&mut self, confirmed: &Progress, replacement: u64) -> Result<(), RecoveryError> {
+        // The old state goes first, so that memory is never needed for both.
+        self.clear();
+        let recovered = self.storage.recover()?;
+        let is_damaged = recovered.damaged || recovered.snapshot.is_none();
+        self.load(recovered)?;
+        if is_damaged || !self.progress().includes(confirmed) {
+            warn!("storage lacks what it had confirmed: starting empty, with a new identity");
+            self.clear();
+            self.identity = replacement;
+            self.view = View::default();
+            self.vote = Vote::default();
+        }
+        Ok(())
+    }
+
+    /// Drops the state machine, and what depends on it.
+    fn clear(&mut self) {
+        self.machine = M::default();
+        self.position = Position::default();
+        self.complete = false;
+        self.committed = Position::default();
+        self.recent.clear();
+        self.restore_count += 1;
+        self.synchronized_in_view = 0;
+    }
+
+    fn load(&mut self, recovered: Recovered) -> Result<(), RecoveryError> {
         if let Some(snapshot) = recovered.snapshot {
-            replica.restore_checkpoint(decode(&snapshot).map_err(RecoveryError::Checkpoint)?)?;
+            self.restore_checkpoint(decode(&snapshot).map_err(RecoveryError::Checkpoint)?)?;
         }
         for record in recovered.records {
-            replica.replay(decode(&record).map_err(RecoveryError::Record)?);
+            self.replay(decode(&record).map_err(RecoveryError::Record)?);
         }
-        // After a power failure the last segment may end in a torn record, behind which nothing may be appended.
-        replica.start_segment()?;
-        Ok(replica)
+        Ok(())
     }
 
     fn restore_checkpoint(&mut self, checkpoint: Checkpoint) -> Result<(), RecoveryError> {
--- a/control-plane/chain-replication/src/replica/replication.rs
+++ b/control-plane/chain-replication/src/replica/replication.rs
@@ -8,6 +8,7 @@
 use super::{AppendOutcome, Replica};
 use crate::error::RecoveryError;
 use crate::message::{Append, Install};
+use crate::position::Position;
 use crate::state_machine::StateMachine;
 use crate::storage::{Record, Storage};
 use crate::view::View;
@@ -15,6 +16,9 @@
 impl<M: StateMachine, S: Storage> Replica<M, S> {
     /// The reason to reject a message of this view, if there is one; a newer view is installed.
     fn reject_or_install_view(&mut self, view: &View) -> Option<AppendOutcome> {
+        if let Err(error) = self.check_not_suspended() {
+            return Some(AppendOutcome::StorageError(error));
+        }
         if view.number < self.view.number {
             return Some(AppendOutcome::StaleView(self.view.clone()));
         }
@@ -70,19 +74,11 @@
         let Some(machine) = M::restore(&install.machine.0) else {
             return AppendOutcome::StorageError(RecoveryError::Snapshot);
         };
-        let previous_machine = std::mem::replace(&mut self.machine, machine);
-        let previous_position = std::mem::replace(&mut self.position, install.position);
-        let was_complete = std::mem::replace(&mut self.complete, true);
-        self.recent.clear();
-        if let Err(error) = self.start_segment() {
-            // The new state is not stored, so it must not be reported.
-            self.machine = previous_machine;
-            self.position = previous_position;
-            self.complete = was_complete;
+        self.replace_state(machine, install.position, true);
+        if let Err(error) = self.persist_replaced_state() {
             return AppendOutcome::StorageError(error.into());
         }
         self.synchronized_in_view = self.view.number;
-        self.restore_count += 1;
         AppendOutcome::Accepted
     }
 
@@ -93,14 +89,20 @@
     ///
     /// Returns an error if the state cannot be read or stored.
     pub fn install_as_learner(&mut self, install: &Install) -> Result<(), RecoveryError> {
+        self.check_not_suspended()?;
         if self.view.contains(self.identity) {
             return Ok(());
         }
-        self.machine = M::restore(&install.machine.0).ok_or(RecoveryError::Snapshot)?;
-        self.position = install.position;
-        self.complete = false;
+        let machine = M::restore(&install.machine.0).ok_or(RecoveryError::Snapshot)?;
+        self.replace_state(machine, install.position, false);
+        Ok(self.persist_replaced_state()?)
+    }
+
+    fn replace_state(&mut self, machine: M, position: Position, complete: bool) {
+        self.machine = machine;
+        self.position = position;
+        self.complete = complete;
         self.restore_count += 1;
         self.recent.clear();
-        Ok(self.start_segment()?)
     }
 }
--- a/control-plane/chain-replication/src/state_machine.rs
+++ b/control-plane/chain-replication/src/state_machine.rs
@@ -2,8 +2,8 @@
 
 use marblecroft_rpc::Message;
 
-/// A deterministic state that operations change.
-pub trait StateMachine: Sized {
+/// A deterministic state that operations change. Its default is the state before the first operation.
+pub trait StateMachine: Default {
     /// A change of the state, encoded in the entries of the log.
     type Operation: Message;
     /// What the head reports of an operation to its submitter.
--- a/control-plane/chain-replication/src/storage.rs
+++ b/control-plane/chain-replication/src/storage.rs
@@ -5,7 +5,7 @@
 use crate::position::Position;
 use crate::view::View;
 use marblecroft_rpc::Bytes;
-use marblecroft_wal::Wal;
+use marblecroft_wal::{Recovered, Wal};
 use musli::{Decode, Encode};
 use std::io;
 
@@ -25,6 +25,15 @@
     /// After an error either this segment or the one before it is found by a recovery.
     fn start_segment(&mut self, checkpoint: &[u8]) -> io::Result<()>;
 
+    /// Reads everything anew, as the next process would. Records can be appended after a segment was started.
+    ///
+    /// What is read may be in the operating system's cache alone, and be lost with the power, until a segment is started.
+    ///
+    /// # Errors
+    ///
+    /// The storage cannot be read.
+    fn recover(&mut self) -> io::Result<Recovered>;
+
     /// Whether records can be appended.
     fn is_writable(&self) -> bool;
 
@@ -41,6 +50,10 @@
         Wal::start_segment(self, checkpoint)
     }
 
+    fn recover(&mut self) -> io::Result<Recovered> {
+        Wal::recover(self)
+    }
+
     fn is_writable(&self) -> bool {
         Wal::is_writable(self)
     }
@@ -63,6 +76,10 @@
         Ok(())
     }
 
+    fn recover(&mut self) -> io::Result<Recovered> {
+        Ok(Recovered::default())
+    }
+
     fn is_writable(&self) -> bool {
         true
     }
--- a/control-plane/chain-replication/tests/cluster.rs
+++ b/control-plane/chain-replication/tests/cluster.rs
@@ -100,6 +100,10 @@
         Ok(())
     }
 
+    fn recover(&mut self) -> io::Result<Recovered> {
+        Ok(self.recovered())
+    }
+
     fn is_writable(&self) -> bool {
         !self.0.lock().unwrap().is_broken
     }
@@ -195,8 +199,7 @@
         // The next process starts a segment on a disk that failed under the last one.
         disk.0.lock().unwrap().is_broken = false;
         let recovered = disk.recovered();
-        let replica =
-            Replica::open(disk, recovered, AppliedOperations::default(), identity, founding).expect("opens");
+        let replica = Replica::open(disk, recovered, identity, founding).expect("opens");
         let config = Config {
             heartbeat_interval: Duration::from_millis(500),
             append_timeout: Duration::from_millis(1),
@@ -581,6 +584,8 @@
         self.disks.iter().for_each(|disk| disk.set_failing(false));
         (0..NODES).for_each(|node| self.restart(node));
         for round in 0..40u8 {
+            // The timers of every process go off; a member that is suspended reads its disk anew then.
+            (0..NODES).for_each(|node| self.run_round(node));
             (0..NODES).for_each(|node| self.learn_view(node));
             for node in 0..NODES {
                 self.submit(node);
@@ -608,6 +613,15 @@
     arbtest::arbtest(run_history).size_min(64).size_max(4096).budget_ms(8000);
 }
 
+/// Regression: a voter's write of a vote returned an error and was durable all the same. The voter went on without it, a
+/// learner and then a member that the view named lost their disks, and after a restart the vote was back: the view was
+/// decided with one of its three voters left.
+#[test]
+fn vote_whose_write_failed_is_known_before_the_next_loss() {
+    arbtest::arbtest(run_history).seed(0x1567_df64_0000_1000);
+    arbtest::arbtest(run_history).seed(0x0505_8b4b_0000_1000);
+}
+
 /// Regression: a view that a minority had accepted was decided after two members that it names had lost their disks.
 #[test]
 fn view_accepted_by_a_minority_still_has_voters_when_it_is_decided() {
--- a/control-plane/chain-replication/tests/golden.rs
+++ b/control-plane/chain-replication/tests/golden.rs
@@ -111,8 +111,7 @@
 fn member_with_history(storage: &RecordingStorage) -> Replica<Sum, RecordingStorage> {
     let founding = Some(view(1));
     let mut replica =
-        Replica::open(storage.clone(), Recovered::default(), Sum::default(), member(3).identity, founding)
-            .expect("opens");
+        Replica::open(storage.clone(), Recovered::default(), member(3).identity, founding).expect("opens");
     replica.propose(&vec![40, 2]).expect("written");
     assert_eq!(
         replica.handle_vote_request(&VoteRequest::Prepare { instance: 2, proposal_number: 5 }),
@@ -143,11 +142,11 @@
     let (storage, before) = (RecordingStorage::default(), member_with_history(&RecordingStorage::default()));
     // The stored identity and view take precedence over these.
     let found = recovered(include_str!("golden/log.hex"));
-    let replica = Replica::open(storage.clone(), found, Sum::default(), 1, None).expect("opens");
+    let replica = Replica::<Sum, _>::open(storage.clone(), found, 1, None).expect("opens");
     let expected = include_str!("golden/checkpoint.hex");
     storage.check_written(expected);
-    let again = Replica::open(RecordingStorage::default(), recovered(expected), Sum::default(), 1, None)
-        .expect("opens");
+    let again =
+        Replica::<Sum, _>::open(RecordingStorage::default(), recovered(expected), 1, None).expect("opens");
     let accepted = Some(Accepted { proposal_number: 7, view: view(3) });
     for replica in [replica, again] {
         assert_eq!(replica.identity(), member(3).identity);
@@ -162,7 +161,7 @@
 #[test]
 fn unreadable_log_is_an_error_that_names_its_cause() {
     let open = |recovered| {
-        let replica = Replica::open(RecordingStorage::default(), recovered, Sum::default(), 1, None);
+        let replica = Replica::<Sum, _>::open(RecordingStorage::default(), recovered, 1, None);
         replica.err().expect("an error")
     };
     let records = vec![vec![1, 2, 3]];
--- a/control-plane/chain-replication/tests/head.rs
+++ b/control-plane/chain-replication/tests/head.rs
@@ -31,8 +31,7 @@
 
 fn member_of_chain_of_three(identity: u64) -> Chain<Sum, NullStorage> {
     let founding = Some(view(1, &[1, 2, 3]));
-    let replica =
-        Replica::open(NullStorage, Recovered::default(), Sum::default(), identity, founding).expect("opens");
+    let replica = Replica::open(NullStorage, Recovered::default(), identity, founding).expect("opens");
     let config = Config {
         heartbeat_interval: HEARTBEAT_INTERVAL,
         append_timeout: Duration::from_millis(10),
--- a/control-plane/chain-replication/tests/views_model.rs
+++ b/control-plane/chain-replication/tests/views_model.rs
@@ -2,6 +2,9 @@
 //! otherwise forget nothing, proposers that start again and again, delayed requests and lost replies. At most one view is
 //! decided, and more than half of its voters are left: a view may name a learner, whose disk may be lost too, so between two
 //! losses voters have what they accepted decided. Each mutation below violates that, and the checker finds it.
+//!
+//! A voter's write may fail: an error is returned, and the vote is durable, or it is in the operating system's cache alone.
+//! The voter is suspended then, and counts as a loss itself, until it has read its disk anew and written what it found.
 
 use stateright::{Checker, Model, Property};
 use std::collections::BTreeSet;
@@ -9,10 +12,9 @@
 type ProposalNumber = u8;
 type View = u8;
 
-/// Voters, proposers (which are the first voters), and how often each proposer starts a proposal.
+/// Voters, and proposers, which are the first voters.
 const VOTERS: usize = 3;
 const PROPOSERS: usize = 2;
-const PROPOSALS: u8 = 2;
 /// Number of voters whose disks may be lost.
 const MAX_LOSSES: usize = 1;
 /// Added to a view that does not name the learner, as its disk was lost before; the other views name it in the place of the
@@ -41,13 +43,45 @@
     IdentityRetainedAfterDiskLoss,
     /// A second disk may be lost while a view is accepted by some and not decided.
     LossWhileUndecided,
+    /// A voter whose write failed goes on as if nothing had been written.
+    FailedWriteIgnored,
+    /// A voter whose write failed goes on with what it reads, before that is durable.
+    UnsyncedReadTrusted,
 }
 
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-struct Voter {
+impl Mutation {
+    /// Whether any voter may be restarted in this search. Without a mutation, one whose writes succeeded loses nothing by it.
+    fn needs_restarts(self) -> bool {
+        matches!(self, Mutation::PromiseForgotten | Mutation::AcceptedForgotten)
+    }
+
+    fn ignores_failed_writes(self) -> bool {
+        matches!(self, Mutation::FailedWriteIgnored | Mutation::UnsyncedReadTrusted)
+    }
+}
+
+/// What a voter has promised and accepted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+struct Vote {
     promised: ProposalNumber,
     accepted: Option<(ProposalNumber, View)>,
+}
+
+/// A disk after a write that failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct FailedDisk {
+    /// What is found when it is read.
+    read: Vote,
+    /// What is found after the power was lost.
+    durable: Vote,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Voter {
+    vote: Vote,
     lost: bool,
+    /// Set from a failed write until the voter has written what it found.
+    failed_disk: Option<FailedDisk>,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -77,6 +111,7 @@
     losses: usize,
     learner_lost: bool,
     restarts: u8,
+    failed_writes: u8,
 }
 
 impl State {
@@ -90,7 +125,11 @@
 
     /// Whether a voter that is left has accepted a view, and none is decided.
     fn has_undecided_view(&self) -> bool {
-        self.decided.is_empty() && self.voters.iter().any(|voter| voter.accepted.is_some())
+        self.decided.is_empty() && self.voters.iter().any(|voter| voter.vote.accepted.is_some())
+    }
+
+    fn has_suspended_voter(&self) -> bool {
+        self.voters.iter().any(|voter| voter.failed_disk.is_some())
     }
 
     /// The time between two losses passes: no proposal and no request is left.
@@ -122,9 +161,20 @@
         number: ProposalNumber,
         view: View,
     },
+    /// An accept request is delivered, and the voter's write of it fails. `is_durable` tells whether the vote reached the disk
+    /// or a cache alone.
+    FailedAccept {
+        voter: usize,
+        number: ProposalNumber,
+        view: View,
+        is_durable: bool,
+    },
+    /// A voter whose write failed reads its disk anew, and writes what it found.
+    ReadAnew(usize),
     LoseDisk(usize),
     /// The learner loses its disk, and has another identity from then on.
     LoseLearner,
+    /// A voter's power is lost, and it is started again.
     Restart(usize),
 }
 
@@ -132,12 +182,27 @@
 const AT_MOST_ONE_DECISION: &str = "at most one view is decided";
 const MAJORITY_LEFT: &str = "more than half of the voters of a decided view are left";
 
-struct Agreement(Mutation);
+/// How far a search goes.
+#[derive(Clone, Copy, Debug)]
+struct Bounds {
+    /// How often each proposer starts a proposal.
+    proposals: [u8; PROPOSERS],
+    /// Number of writes that may fail.
+    failed_writes: u8,
+}
+
+const SOUND_DISKS: Bounds = Bounds { proposals: [2, 2], failed_writes: 0 };
+const ONE_FAILED_WRITE: Bounds = Bounds { proposals: [2, 1], failed_writes: 1 };
+
+struct Agreement {
+    mutation: Mutation,
+    bounds: Bounds,
+}
 
 impl Agreement {
     fn next_number(&self, proposer: usize, proposals: u8, promised: ProposalNumber) -> ProposalNumber {
-        let own = if self.0 == Mutation::NumbersShared { 0 } else { proposer as u8 };
-        if self.0 == Mutation::NumberReused {
+        let own = if self.mutation == Mutation::NumbersShared { 0 } else { proposer as u8 };
+        if self.mutation == Mutation::NumberReused {
             return PROPOSERS as u8 + own;
         }
         let rounds = (promised / PROPOSERS as u8).max(proposals) + 1;
@@ -146,7 +211,7 @@
 
     fn is_quorum(&self, granted: &BTreeSet<usize>, lost: &BTreeSet<usize>) -> bool {
         let majority = VOTERS / 2 + 1;
-        if self.0 == Mutation::LostVoterGrants {
+        if self.mutation == Mutation::LostVoterGrants {
             return granted.union(lost).count() >= majority;
         }
         let all_others = granted.union(lost).count() == VOTERS;
@@ -154,7 +219,9 @@
     }
 
     fn grants(&self, voter: &Voter, number: ProposalNumber) -> bool {
-        !voter.lost && (number >= voter.promised || self.0 == Mutation::LowerNumberGranted)
+        let is_suspended = voter.failed_disk.is_some() && !self.mutation.ignores_failed_writes();
+        let is_running = !voter.lost && !is_suspended;
+        is_running && (number >= voter.vote.promised || self.mutation == Mutation::LowerNumberGranted)
     }
 
     fn prepare(&self, state: &mut State, proposer: usize, voter: usize) {
@@ -162,16 +229,17 @@
         if !self.grants(&state.voters[voter], number) {
             return;
         }
-        let stores_promise = self.0 != Mutation::NumberReused || voter != proposer;
+        let stores_promise = self.mutation != Mutation::NumberReused || voter != proposer;
         if stores_promise {
-            state.voters[voter].promised = number;
+            state.voters[voter].vote.promised = number;
+            self.settle(&mut state.voters[voter]);
         }
-        let accepted = state.voters[voter].accepted;
+        let accepted = state.voters[voter].vote.accepted;
         let own = &mut state.proposers[proposer];
         own.promised.insert(voter);
         own.highest = own.highest.max(accepted);
         if own.requested.is_none() && self.is_quorum(&own.promised, &own.lost) {
-            let accepted = own.highest.filter(|_| self.0 != Mutation::AcceptedIgnored);
+            let accepted = own.highest.filter(|_| self.mutation != Mutation::AcceptedIgnored);
             // Each of its proposals is for another view of its own.
             let own_view = proposer as View * 10 + own.proposals;
             let own_view = if own.names_learner { own_view } else { own_view + WITHOUT_LEARNER };
@@ -184,12 +252,30 @@
     fn handle_accept(&self, voter: &mut Voter, number: ProposalNumber, view: View) -> bool {
         let grants = self.grants(voter, number);
         if grants {
-            voter.promised = number;
-            voter.accepted = Some((number, view));
+            let vote = Vote { promised: number, accepted: Some((number, view)) };
+            let is_new = voter.vote != vote;
+            voter.vote = vote;
+            if is_new {
+                self.settle(voter);
+            }
         }
         grants
     }
 
+    /// A write that succeeds begins with everything that the voter has in memory.
+    fn settle(&self, voter: &mut Voter) {
+        voter.failed_disk = None;
+    }
+
+    fn fail_accept(&self, voter: &mut Voter, number: ProposalNumber, view: View, is_durable: bool) {
+        let written = Vote { promised: number, accepted: Some((number, view)) };
+        let durable = if is_durable { written } else { voter.vote };
+        voter.failed_disk = Some(FailedDisk { read: written, durable });
+        if self.mutation == Mutation::UnsyncedReadTrusted {
+            voter.vote = written;
+        }
+    }
+
     fn accept(&self, state: &mut State, proposer: usize, voter: usize) {
         let number = state.proposers[proposer].number;
         let Some(view) = state.proposers[proposer].requested else { return };
@@ -206,8 +292,11 @@
 
     /// Whether another disk may be lost.
     fn may_lose(&self, state: &State) -> bool {
+        if state.has_suspended_voter() && !self.mutation.ignores_failed_writes() {
+            return false;
+        }
         let first = state.losses == 0 && !state.learner_lost;
-        first || !state.has_undecided_view() || self.0 == Mutation::LossWhileUndecided
+        first || !state.has_undecided_view() || self.mutation == Mutation::LossWhileUndecided
     }
 }
 
@@ -225,11 +314,11 @@
 
     fn actions(&self, state: &State, actions: &mut Vec<Action>) {
         for (index, proposer) in state.proposers.iter().enumerate() {
-            if state.voters[index].lost && self.0 != Mutation::IdentityRetainedAfterDiskLoss {
+            if state.voters[index].lost && self.mutation != Mutation::IdentityRetainedAfterDiskLoss {
                 // A proposer that has lost its disk is no voter any more.
                 continue;
             }
-            if proposer.proposals < PROPOSALS {
+            if proposer.proposals < self.bounds.proposals[index] {
                 actions.push(Action::Propose { proposer: index, knows_lost: false });
                 if state.losses > 0 {
                     actions.push(Action::Propose { proposer: index, knows_lost: true });
@@ -260,10 +349,20 @@
             if state.losses < MAX_LOSSES && !state.voters[voter].lost && self.may_lose(state) {
                 actions.push(Action::LoseDisk(voter));
             }
-            let is_forgetful = matches!(self.0, Mutation::PromiseForgotten | Mutation::AcceptedForgotten);
-            if is_forgetful && state.restarts < 2 {
+            let has_failed_disk = state.voters[voter].failed_disk.is_some();
+            if has_failed_disk || (self.mutation.needs_restarts() && state.restarts < 2) {
                 actions.push(Action::Restart(voter));
             }
+            if has_failed_disk {
+                actions.push(Action::ReadAnew(voter));
+            }
+            if state.failed_writes < self.bounds.failed_writes && !state.voters[voter].lost {
+                for &(number, view) in &state.accept_requests {
+                    for is_durable in [true, false] {
+                        actions.push(Action::FailedAccept { voter, number, view, is_durable });
+                    }
+                }
+            }
         }
     }
 
@@ -272,7 +371,7 @@
         match action {
             Action::Propose { proposer, knows_lost } => {
                 let proposals = state.proposers[proposer].proposals;
-                let number = self.next_number(proposer, proposals, state.voters[proposer].promised);
+                let number = self.next_number(proposer, proposals, state.voters[proposer].vote.promised);
                 let lost = (0..VOTERS).filter(|voter| knows_lost && state.voters[*voter].lost).collect();
                 let names_learner = !state.learner_lost;
                 state.proposers[proposer] =
@@ -294,16 +393,34 @@
                     state.pass_time_between_losses();
                 }
                 state.losses += 1;
-                let lost = self.0 != Mutation::IdentityRetainedAfterDiskLoss;
+                let lost = self.mutation != Mutation::IdentityRetainedAfterDiskLoss;
                 state.voters[voter] = Voter { lost, ..Voter::default() };
             }
+            Action::FailedAccept { voter, number, view, is_durable } => {
+                if !self.grants(&state.voters[voter], number) {
+                    return None;
+                }
+                state.failed_writes += 1;
+                self.fail_accept(&mut state.voters[voter], number, view, is_durable);
+            }
+            Action::ReadAnew(voter) => {
+                let voter = &mut state.voters[voter];
+                if let Some(disk) = voter.failed_disk.take() {
+                    voter.vote = disk.read;
+                }
+            }
             Action::Restart(voter) => {
                 state.restarts += 1;
-                let restarted = &mut state.voters[voter];
-                if self.0 == Mutation::PromiseForgotten {
-                    restarted.promised = restarted.accepted.map_or(0, |accepted| accepted.0);
-                } else {
-                    restarted.accepted = None;
+                let voter = &mut state.voters[voter];
+                match self.mutation {
+                    Mutation::PromiseForgotten => {
+                        voter.vote.promised = voter.vote.accepted.map_or(0, |accepted| accepted.0);
+                    }
+                    Mutation::AcceptedForgotten => voter.vote.accepted = None,
+                    _ => {}
+                }
+                if let Some(disk) = voter.failed_disk.take() {
+                    voter.vote = disk.durable;
                 }
             }
         }
@@ -326,18 +443,29 @@
 const MAX_STATES: usize = 6_000_000;
 
 fn violates(mutation: Mutation) -> bool {
-    let checker = Agreement(mutation).checker().threads(4).target_state_count(MAX_STATES).spawn_bfs().join();
+    let bounds = if mutation.ignores_failed_writes() { ONE_FAILED_WRITE } else { SOUND_DISKS };
+    let checker =
+        Agreement { mutation, bounds }.checker().threads(4).target_state_count(MAX_STATES).spawn_bfs().join();
     [AT_MOST_ONE_DECISION, MAJORITY_LEFT].iter().any(|name| checker.discovery(name).is_some())
 }
 
-#[test]
-fn at_most_one_view_is_decided_in_every_history() {
-    let checker = Agreement(Mutation::None).checker().threads(4).spawn_bfs().join();
+fn assert_agreement(bounds: Bounds) {
+    let checker = Agreement { mutation: Mutation::None, bounds }.checker().threads(4).spawn_bfs().join();
     assert!(checker.is_done());
-    println!("{} states", checker.unique_state_count());
+    println!("{} states with {bounds:?}", checker.unique_state_count());
     checker.assert_properties();
 }
 
+#[test]
+fn at_most_one_view_is_decided_in_every_history() {
+    assert_agreement(SOUND_DISKS);
+}
+
+#[test]
+fn at_most_one_view_is_decided_where_a_write_fails() {
+    assert_agreement(ONE_FAILED_WRITE);
+}
+
 #[test]
 fn every_mutation_is_detected() {
     let all = [
@@ -350,6 +478,8 @@
         Mutation::LostVoterGrants,
         Mutation::IdentityRetainedAfterDiskLoss,
         Mutation::LossWhileUndecided,
+        Mutation::FailedWriteIgnored,
+        Mutation::UnsyncedReadTrusted,
     ];
     let missed: Vec<Mutation> = all.into_iter().filter(|mutation| !violates(*mutation)).collect();
     assert!(missed.is_empty(), "not detected: {missed:?}");
--- a/control-plane/core/src/coordinator/membership/head_replacement.rs
+++ b/control-plane/core/src/coordinator/membership/head_replacement.rs
@@ -9,7 +9,7 @@
 use marblecroft_chain_replication::Member;
 use std::time::Duration;
 
-/// A head that replies is left in place for this much longer: the fault may be another member's, which the head repairs by
+/// A head that replies and works is left in place for this much longer: the fault may be another member's, which the head repairs by
 /// excluding that one (after 800 ms, and the vote that follows).
 const RESPONSIVE_HEAD_GRACE: Duration = Duration::from_millis(3500);
 
@@ -46,7 +46,8 @@
         }
         let (view, identity) = (replica.view().clone(), replica.identity());
         let is_responsive = |member: &Member| statuses.of_member(member).is_some();
-        if view.head().is_some_and(is_responsive) && silence < RESPONSIVE_HEAD_GRACE + timeout {
+        let works = |member: &Member| is_responsive(member) && !statuses.is_incomplete(member, &view);
+        if view.head().is_some_and(works) && silence < RESPONSIVE_HEAD_GRACE + timeout {
             return;
         }
         let Some(own) = view.members.iter().find(|member| member.identity == identity) else { return };
--- a/control-plane/core/src/coordinator/membership/peer_statuses.rs
+++ b/control-plane/core/src/coordinator/membership/peer_statuses.rs
@@ -37,6 +37,11 @@
         self.of_member(member).is_some_and(|status| status.complete && status.view.number == view.number)
     }
 
+    /// Whether a member has replied that it is in `view` and does not hold everything, or that its disk failed.
+    pub(super) fn is_incomplete(&self, member: &Member, view: &View) -> bool {
+        self.of_member(member).is_some_and(|status| !status.complete && status.view.number == view.number)
+    }
+
     /// Whether a member's disk is known to be lost: its machine replies with another identity.
     pub(super) fn is_lost(&self, member: &Member) -> bool {
         self.at_address_of(member).is_some_and(|status| status.identity != member.identity)
--- a/control-plane/core/src/member.rs
+++ b/control-plane/core/src/member.rs
@@ -1,5 +1,6 @@
 //! How a member of a chain starts from what it finds on its disk.
 
+use marblecroft_chain_replication::chain::random_identity;
 use marblecroft_chain_replication::storage::Storage;
 use marblecroft_chain_replication::{Member, Replica, StateMachine, View};
 use marblecroft_wal::Recovered;
@@ -7,9 +8,6 @@
 use std::net::{IpAddr, SocketAddr};
 use tracing::{info, warn};
 
-/// Set in every identity that is drawn at random, and in none of a founder, whose address and port fill 48 bits.
-const RANDOM_IDENTITY_BIT: u64 = 1 << 63;
-
 /// The identity of a founder. Every process derives the same one from the seeds, and no other member can have it, as theirs
 /// are drawn at random.
 fn founder_identity(seed: SocketAddr) -> u64 {
@@ -47,16 +45,16 @@
 /// # Errors
 ///
 /// The storage cannot be written.
-pub fn open<M: StateMachine + Default, S: Storage>(
+pub fn open<M: StateMachine, S: Storage>(
     storage: S,
     recovered: Recovered,
     drawn: u64,
     founding: Option<(u64, View)>,
 ) -> io::Result<Replica<M, S>> {
-    let drawn = drawn | RANDOM_IDENTITY_BIT;
+    let drawn = random_identity(drawn);
     if recovered.damaged {
         warn!("log is damaged: starting empty, with a new identity");
-        return Ok(Replica::open(storage, Recovered::default(), M::default(), drawn, None)?);
+        return Ok(Replica::open(storage, Recovered::default(), drawn, None)?);
     }
     if recovered.torn_bytes > 0 {
         info!(bytes = recovered.torn_bytes, "torn record at the end of the log skipped");
@@ -65,5 +63,5 @@
         Some((identity, view)) => (identity, Some(view)),
         None => (drawn, None),
     };
-    Ok(Replica::open(storage, recovered, M::default(), identity, view)?)
+    Ok(Replica::open(storage, recovered, identity, view)?)
 }
--- a/control-plane/core/src/store/mod.rs
+++ b/control-plane/core/src/store/mod.rs
@@ -135,6 +135,8 @@
                 let status = ctx.chain().status(now);
                 ctx.answer(token, StoreReply::Status(status));
             }
+            // Its state is read anew, or not known to be durable.
+            StoreRequest::Fetch if ctx.chain().replica().is_suspended() => ctx.answer_not_head(token),
             StoreRequest::Fetch => {
                 let state = ctx.chain().replica().snapshot_message();
                 ctx.answer(token, StoreReply::State(state));
--- a/control-plane/core/src/store_views/mod.rs
+++ b/control-plane/core/src/store_views/mod.rs
@@ -224,11 +224,22 @@
                 status.suspect.filter(|_| status.view.number == current.number)
             })
             .collect();
-        let works =
-            |member: &&Member| self.reports.of(now, member).is_some() && !suspects.contains(&member.address);
+        let works = |member: &&Member| {
+            self.reports.of(now, member).is_some()
+                && !suspects.contains(&member.address)
+                && !self.is_suspended_head(now, current, member)
+        };
         current.members.iter().filter(works).collect()
     }
 
+    /// Whether this member heads the view and reports that it is not complete in it. A write of its has failed, and nobody
+    /// else can suspect it, as it orders no rounds. Other members may be incomplete for as long as they are synchronized.
+    fn is_suspended_head(&self, now: Duration, current: &View, member: &Member) -> bool {
+        let is_head = current.head().is_some_and(|head| head.identity == member.identity);
+        let status = self.reports.of(now, member).map(|report| &report.status);
+        is_head && status.is_some_and(|status| status.view.number == current.number && !status.complete)
+    }
+
     /// The store that joins next: one in the zone that has the fewest members.
     fn best_joiner(
         &self,
--- a/control-plane/core/tests/store_views.rs
+++ b/control-plane/core/tests/store_views.rs
@@ -83,6 +83,24 @@
     assert_eq!(stores.next(&view(&[1, 2, 3]), &[]), Some(vec![1, 3]));
 }
 
+#[test]
+fn a_head_whose_disk_failed_is_excluded_and_a_member_being_synchronized_is_not() {
+    let incomplete = |store: u8| {
+        let mut report = report(store);
+        report.status.complete = false;
+        report
+    };
+    let mut stores = Stores::new();
+    stores.report_for(SHORT_TIME, &[report(1), incomplete(2), report(3)]);
+    assert_eq!(stores.next(&view(&[1, 2, 3]), &[]), None, "its predecessor synchronizes it");
+    stores.report_for(SHORT_TIME, &[incomplete(1), report(2), report(3)]);
+    assert_eq!(stores.next(&view(&[1, 2, 3]), &[]), Some(vec![2, 3]), "nobody else can head the view");
+    let mut behind = incomplete(1);
+    behind.status.view.number = 4;
+    stores.report_for(SHORT_TIME, &[behind, report(2), report(3)]);
+    assert_eq!(stores.next(&view(&[1, 2, 3]), &[]), None, "it has yet to learn of the view that it heads");
+}
+
 #[test]
 fn a_single_complete_member_waits_while_excluded_disks_may_be_sound() {
     let mut stores = Stores::new();
--- a/control-plane/core/tests/stored.rs
+++ b/control-plane/core/tests/stored.rs
@@ -173,8 +173,7 @@
 fn the_bytes_of_a_stores_log_are_stable() {
     let disk = RecordingStorage::default();
     let mut replica: Replica<BatchState, _> =
-        Replica::open(disk.clone(), Recovered::default(), BatchState::default(), 0x1122_3344, None)
-            .expect("opens");
+        Replica::open(disk.clone(), Recovered::default(), 0x1122_3344, None).expect("opens");
     assert!(replica.install_view(&stores_view()).expect("written"));
     replica.propose(&vec![BatchOperation::SubmitJob(job())]).expect("written");
     let record = |item, outcome| BatchOperation::RecordResult { job: "job-1".to_owned(), item, outcome };
--- a/control-plane/server/src/storage.rs
+++ b/control-plane/server/src/storage.rs
@@ -13,10 +13,7 @@
 /// # Errors
 ///
 /// The log cannot be read or written.
-pub fn open<M: StateMachine + Default>(
-    folder: &Path,
-    founding: Option<(u64, View)>,
-) -> io::Result<Replica<M, Wal>> {
+pub fn open<M: StateMachine>(folder: &Path, founding: Option<(u64, View)>) -> io::Result<Replica<M, Wal>> {
     let (log, recovered) = Wal::open(folder)?;
     member::open(log, recovered, random_id(), founding)
 }
@@ -26,8 +23,6 @@
 /// # Errors
 ///
 /// None in practice: the storage takes every write.
-pub fn without_disk<M: StateMachine + Default>(
-    founding: Option<(u64, View)>,
-) -> io::Result<Replica<M, NullStorage>> {
+pub fn without_disk<M: StateMachine>(founding: Option<(u64, View)>) -> io::Result<Replica<M, NullStorage>> {
     member::open(NullStorage, Recovered::default(), random_id(), founding)
 }
--- a/control-plane/simulation/src/disk.rs
+++ b/control-plane/simulation/src/disk.rs
@@ -37,16 +37,27 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns what a process recovers when it starts. It must begin a new segment before it writes records.
+    /// Returns what a process recovers when it starts, or when it reads the disk anew: what was written, synced or not. It
+    /// must begin a new segment before it writes records.
     pub fn recovered(&self) -> Recovered {
         let mut state = self.state();
         state.writable = false;
-        Recovered {
+        let mut recovered = Recovered {
             snapshot: state.snapshot.clone(),
             records: state.records.clone(),
             torn_bytes: 0,
             damaged: state.corrupted,
+        };
+        for write in &state.unsynced {
+            match write {
+                Write::Records(records) => recovered.records.extend(records.iter().cloned()),
+                Write::Segment(snapshot) => {
+                    recovered.snapshot = Some(snapshot.clone());
+                    recovered.records.clear();
+                }
+            }
         }
+        recovered
     }
 
     /// Sets the duration of a write and its sync.
@@ -144,6 +155,7 @@
         let sync_time = state.sync_time;
         state.elapsed += sync_time;
         if state.failing {
+            state.writable = false;
             return Err(io::Error::other("the disk refuses"));
         }
         state.unsynced.push(Write::Segment(snapshot.to_vec()));
@@ -151,6 +163,10 @@
         Ok(())
     }
 
+    fn recover(&mut self) -> io::Result<Recovered> {
+        Ok(self.recovered())
+    }
+
     fn is_writable(&self) -> bool {
         self.state().writable
     }
--- a/control-plane/wal/src/wal.rs
+++ b/control-plane/wal/src/wal.rs
@@ -40,23 +40,42 @@
         Ok((wal, recovery.recovered))
     }
 
+    /// Reads the contents anew, as [`Wal::open`] does. Records can be appended after [`Wal::start_segment`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error of the file system, or [`WalError::UnknownFormat`].
+    pub fn recover(&mut self) -> io::Result<Recovered> {
+        self.file = None;
+        let recovery = recover(&self.directory)?;
+        self.segment_number = self.segment_number.max(recovery.newest_segment);
+        Ok(recovery.recovered)
+    }
+
     /// Starts a segment with this snapshot, which is durable on return, and removes the older segments.
     ///
     /// # Errors
     ///
-    /// Returns an error of the file system, or [`WalError::RecordTooLong`].
+    /// Returns an error of the file system, or [`WalError::RecordTooLong`]. After an error this segment or the older one is
+    /// recovered, and nothing can be appended until a segment is started.
     pub fn start_segment(&mut self, snapshot: &[u8]) -> io::Result<()> {
         let number = self.segment_number + 1;
         let mut bytes = Vec::with_capacity(MAGIC.len() + RECORD_HEADER_BYTES + snapshot.len());
         bytes.extend_from_slice(&MAGIC);
         encode_record(snapshot, &mut bytes)?;
-        // The number is used up even where the write fails, so that no torn segment is overwritten.
+        // The number is used up even where the write fails, so that no torn segment is overwritten; and nothing more is
+        // appended to the older segment, which this one may replace all the same.
         self.segment_number = number;
-        let mut file =
-            OpenOptions::new().write(true).create_new(true).open(segment_path(&self.directory, number))?;
-        file.write_all(&bytes)?;
-        file.sync_all()?;
-        sync_directory(&self.directory)?;
+        self.file = None;
+        let path = segment_path(&self.directory, number);
+        let file = match self.write_segment(&path, &bytes) {
+            Ok(file) => file,
+            Err(error) => {
+                // Attempts on a full disk must not fill it further. Where this fails too, a recovery skips the torn segment.
+                let _ = fs::remove_file(&path);
+                return Err(error);
+            }
+        };
         self.segment_bytes = bytes.len() as u64;
         self.snapshot_bytes = self.segment_bytes;
         for older in segment_numbers(&self.directory)?.into_iter().filter(|&older| older < number) {
@@ -68,6 +87,14 @@
         Ok(())
     }
 
+    fn write_segment(&self, path: &Path, bytes: &[u8]) -> io::Result<File> {
+        let mut file = OpenOptions::new().write(true).create_new(true).open(path)?;
+        file.write_all(bytes)?;
+        file.sync_all()?;
+        sync_directory(&self.directory)?;
+        Ok(file)
+    }
+
     /// Appends records, which are durable on return.
     ///
     /// # Errors
--- a/control-plane/wal/tests/power_loss.rs
+++ b/control-plane/wal/tests/power_loss.rs
@@ -145,6 +145,31 @@
     .budget_ms(500);
 }
 
+#[test]
+fn nothing_is_appended_to_an_older_segment_after_a_newer_one_failed() {
+    let directory = TestDirectory::new("failed-start");
+    let (mut wal, _) = Wal::open(&directory.0).expect("opens");
+    wal.start_segment(b"older").expect("starts");
+    wal.append(&[b"first"]).expect("appended");
+    // The name of the next segment is taken, so it cannot be created.
+    let taken = directory.0.join("00000000000000000002.segment");
+    fs::create_dir(&taken).expect("created");
+    assert!(wal.start_segment(b"newer").is_err());
+    assert!(!wal.is_writable());
+    assert!(wal.append(&[b"second"]).is_err());
+    fs::remove_dir(&taken).expect("removed");
+    let read_anew = wal.recover().expect("reads");
+    assert_eq!(read_anew.snapshot.as_deref(), Some(&b"older"[..]));
+    assert_eq!(read_anew.records, [b"first".to_vec()]);
+    assert_eq!(read_anew, recover(&directory.0));
+    wal.start_segment(b"third").expect("starts");
+    wal.append(&[b"fourth"]).expect("appended");
+    let recovered = recover(&directory.0);
+    assert_eq!(recovered.snapshot.as_deref(), Some(&b"third"[..]));
+    assert_eq!(recovered.records, [b"fourth".to_vec()]);
+    assert!(!recovered.damaged);
+}
+
 #[test]
 fn damage_before_a_later_synced_append_is_distinguished_from_a_torn_end() {
     let directory = TestDirectory::new("damage");
--- a/testing/support/golden/storage.rs
+++ b/testing/support/golden/storage.rs
@@ -41,6 +41,10 @@
         Ok(())
     }
 
+    fn recover(&mut self) -> io::Result<Recovered> {
+        Ok(recovered(&self.written()))
+    }
+
     fn is_writable(&self) -> bool {
         true
     }
