Coordination: give a new member its vote only once it has the log

The consensus crate takes a learner for caught up that lacks no more entries than a threshold (200 here); with a shorter log a process that had nothing yet became a voter, and `add` was answered before it knew of it.

Change: `add` waits until the process has the log up to the entry that made it a learner, then for the one that makes it a voter; a change of members that comes while another is under way is `busy`, not `no`, so a caller that asks again after a lost answer is not refused.

--- a/quota-gateway/coordination/src/service.rs
+++ b/quota-gateway/coordination/src/service.rs
@@ -11,8 +11,8 @@
     read, write, Broken, LockStatus, Message, Request, Response, SessionStatus, Status, IN_FLIGHT,
     MAX_PAYLOAD_BYTES,
 };
-use openraft::error::{ClientWriteError, RaftError};
-use openraft::{BasicNode, ChangeMembers, Config, ServerState, SnapshotPolicy};
+use openraft::error::{ChangeMembershipError, ClientWriteError, RaftError};
+use openraft::{BasicNode, ChangeMembers, Config, RaftMetrics, ServerState, SnapshotPolicy};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
@@ -29,6 +29,8 @@
 
 /// The leader looks for sessions that are over this often.
 const LOOK_EVERY: Duration = Duration::from_millis(25);
+/// A new member has the log within this time, or its addition is asked for again.
+const REPLICATION_TIMEOUT: Duration = Duration::from_secs(5);
 /// The longest that a watch waits.
 const MAX_WATCH_TIME: Duration = Duration::from_secs(60);
 /// A part of a snapshot that is handed out at once.
@@ -500,13 +502,36 @@
         }
     }
 
-    /// A new process first learns all there is, without a vote; then it is a member.
+    /// A new process first learns all there is, without a vote; then it is a member, and knows that it is one when this is
+    /// answered.
     async fn add(&self, node: NodeId, addr: String) -> Response {
-        if let Err(e) = self.raft.add_learner(node, BasicNode::new(addr), true).await {
-            return self.refused(e);
+        let learner = match self.raft.add_learner(node, BasicNode::new(addr), true).await {
+            Ok(learner) => learner,
+            Err(e) => return self.refused(e),
+        };
+        // The consensus takes a learner for caught up that lacks no more than its threshold: where the log is shorter, one
+        // that has nothing.
+        if !self.await_replication(node, learner.log_id.index).await {
+            return self.elsewhere();
         }
         let with = ChangeMembers::AddVoterIds(BTreeSet::from([node]));
-        self.changed(self.raft.change_membership(with, false).await)
+        match self.raft.change_membership(with, false).await {
+            Ok(voter) if self.await_replication(node, voter.log_id.index).await => Response::Done,
+            // It votes by now; asked again, this waits for it again.
+            Ok(_) => self.elsewhere(),
+            Err(e) => self.refused(e),
+        }
+    }
+
+    /// Waits until a process has the log up to an entry; false: it has not in time, or this process no longer leads.
+    async fn await_replication(&self, node: NodeId, index: u64) -> bool {
+        let is_over = |metrics: &RaftMetrics<NodeId, BasicNode>| {
+            let Some(replication) = &metrics.replication else { return true };
+            replication.get(&node).copied().flatten().is_some_and(|matched| matched.index >= index)
+        };
+        let waited =
+            self.raft.wait(Some(REPLICATION_TIMEOUT)).metrics(is_over, "a new member has the log").await;
+        waited.is_ok_and(|metrics| metrics.replication.is_some())
     }
 
     fn changed<T>(
@@ -519,6 +544,10 @@
     fn refused(&self, e: RaftError<NodeId, ClientWriteError<NodeId, BasicNode>>) -> Response {
         match e {
             RaftError::APIError(ClientWriteError::ForwardToLeader(_)) => self.not_leader(),
+            // Often the same change, of a caller that has lost patience and asks again.
+            RaftError::APIError(ClientWriteError::ChangeMembershipError(
+                ChangeMembershipError::InProgress(_),
+            )) => Response::Busy { after_ms: 50 },
             RaftError::APIError(e) => Response::No(e.to_string()),
             // It may be in the log all the same.
             RaftError::Fatal(e) => Response::Unknown(e.to_string()),
--- a/quota-gateway/coordination/tests/cluster.rs
+++ b/quota-gateway/coordination/tests/cluster.rs
@@ -2,7 +2,7 @@
 
 use marblecroft_coordination::client::{Client, Failed};
 use marblecroft_coordination::state::{Changes, Done, Op, Owner, Refused, Token};
-use marblecroft_coordination::wire::{encode, Message, Request, Status};
+use marblecroft_coordination::wire::{encode, Channel, Message, Request, Response, Status};
 use marblecroft_test_support::Port;
 use std::fs;
 use std::future::Future;
@@ -242,6 +242,38 @@
     });
 }
 
+#[test]
+fn a_process_that_has_not_got_the_log_is_no_voter() {
+    let cluster = Cluster::new(3);
+    let mut joining = Member::new(&cluster.root, 3);
+    joining.start();
+    let node = joining.status().expect("answers").node;
+    let voters = |member: &Member| {
+        let members = member.status().expect("answers").members;
+        members.into_iter().filter(|(_, _, votes)| *votes).count()
+    };
+    play(async {
+        let client = Client::new(cluster.addrs());
+        let Ok(Response::Identity { cluster: id, .. }) = client.question(|| Request::Identity, LONG).await
+        else {
+            panic!("no identity");
+        };
+        let channel = Channel::connect(&joining.addr, 0).await.expect("connects");
+        let joined = channel.call(Request::Join { cluster: id }).await.expect("answers");
+        assert!(matches!(joined, Response::Done), "{joined:?}");
+        joining.signal("-STOP");
+        let add = || Request::Add { node, addr: joining.addr.clone() };
+        let added = client.question(add, TTL).await;
+        assert!(matches!(added, Err(Failed::TimedOut)), "{added:?}");
+        assert_eq!(voters(&cluster.members[cluster.leader()]), 3);
+        joining.signal("-CONT");
+        let added = client.question(add, LONG).await;
+        assert!(matches!(added, Ok(Response::Done)), "{added:?}");
+    });
+    assert_eq!(voters(&joining), 4, "it knows by now that it votes");
+    joining.kill();
+}
+
 #[test]
 fn a_service_restored_from_an_older_copy_goes_on_above_the_tokens_that_were_given() {
     let mut cluster = Cluster::new(3);
