Coordination client: count a session only in the cluster that opened it, by concern

A service that begins anew numbers sessions from 1 again; the renewal of the client's earlier session, answered "over", was still on its way when the new session took the same number, and ended that one. The other way round is worse: an earlier session whose number is another owner's now would have been renewed with it, and its operations would have acted for the other.

Change: the client keeps the cluster that opened a session; renewals and operations that name a session go to that cluster alone, and a reply of another cluster ends it. A candidate's entry goes by its session. `client.rs` is `client/` by concern (connection, calls, session, lock, error), `Failed` is `CallError` (quick_error).

--- a/quota-gateway/controller/src/commands.rs
+++ b/quota-gateway/controller/src/commands.rs
@@ -2,7 +2,7 @@
 
 use marblecroft_control_messages::frame::{decode, DecodeError, Fleet};
 use marblecroft_control_messages::published::Decision;
-use marblecroft_coordination::client::{Client, Failed};
+use marblecroft_coordination::client::{CallError, Client};
 use marblecroft_coordination::state::{Op, Owner};
 use marblecroft_singleton_roles::keys::{
     decode_value, encode_value, Keys, OperatorCommand, RoleOwner, ROLES,
@@ -32,7 +32,7 @@
             from()
         }
         /// The coordination service did not carry it out.
-        Coordination(cause: Failed) {
+        Coordination(cause: CallError) {
             display("{cause}")
             from()
         }
--- /dev/null
+++ b/quota-gateway/coordination/src/client/connection.rs
@@ -0,0 +1,149 @@
+//! The connection to the leader, and calls that are sent again until there is a reply.
+//!
+//! Addresses are tried in turn, the leader is remembered, pauses are jittered, every call has a bound.
+
+use super::error::CallError;
+use super::Client;
+use crate::env::chance;
+use crate::peers::translated;
+use crate::state::Refused;
+use crate::wire::{Channel, Request, Response};
+use rand::Rng;
+use std::io;
+use std::time::Duration;
+use tokio::time::{sleep, timeout_at, Instant};
+
+/// The first and the longest pause between attempts; each is jittered by half either way.
+const MIN_RETRY_BACKOFF: Duration = Duration::from_millis(20);
+const MAX_RETRY_BACKOFF: Duration = Duration::from_millis(500);
+/// Pause before the leader is called that another process has named.
+const REDIRECT_DELAY: Duration = Duration::from_millis(1);
+
+/// A connection to a process of the service.
+#[derive(Clone)]
+pub(super) struct Connection {
+    channel: Channel,
+    /// The cluster that the process belongs to.
+    cluster: u64,
+}
+
+/// A reply, and the cluster that it is from.
+pub(super) struct Reply {
+    pub(super) response: Response,
+    pub(super) cluster: u64,
+}
+
+/// What follows an attempt.
+enum Attempt {
+    Finished(Box<Result<Reply, CallError>>),
+    /// Try again after a pause: the process' own, or the backoff.
+    Retry {
+        after: Option<Duration>,
+    },
+}
+
+impl Client {
+    /// Returns the connection, or makes one: to the leader if it is known, else to the next address.
+    async fn connect(&self) -> io::Result<Connection> {
+        let _guard = self.0.connecting.lock().await;
+        if let Some(connection) = self.0.connection.borrow().clone() {
+            return Ok(connection);
+        }
+        let address = self.next_address().ok_or_else(|| io::Error::other("no address is known"))?;
+        // A frame names its cluster, which is not known before it was asked for.
+        let unbound = Channel::connect_in(&self.0.env, &address, 0).await?;
+        let cluster = match unbound.call(Request::Identity).await? {
+            Response::Identity { cluster, .. } if cluster != 0 => cluster,
+            _ => return Err(io::Error::other("the process belongs to no cluster yet")),
+        };
+        let channel = Channel::connect_in(&self.0.env, &address, cluster).await?;
+        let connection = Connection { channel, cluster };
+        self.0.connection.replace(Some(connection.clone()));
+        Ok(connection)
+    }
+
+    fn next_address(&self) -> Option<String> {
+        self.0.leader.borrow_mut().take().or_else(|| {
+            let next = self.0.next_address.get();
+            self.0.next_address.set(next.wrapping_add(1));
+            self.0.addresses.get(next % self.0.addresses.len().max(1)).cloned()
+        })
+    }
+
+    fn disconnect(&self) {
+        self.0.connection.replace(None);
+    }
+
+    /// Calls the leader, again and again, until there is a reply or the deadline has passed. `request` makes the request for
+    /// the cluster that it is sent to, or an error where it must not be sent there.
+    pub(super) async fn call_leader(
+        &self,
+        request: impl Fn(u64) -> Result<Request, Refused>,
+        attempt_timeout: Duration,
+        deadline: Instant,
+    ) -> Result<Reply, CallError> {
+        let mut backoff = MIN_RETRY_BACKOFF;
+        loop {
+            let jittered_backoff = jittered(backoff);
+            let attempt_deadline = (Instant::now() + attempt_timeout).min(deadline);
+            let pause = match self.attempt(&request, attempt_deadline).await {
+                Attempt::Finished(result) => return *result,
+                Attempt::Retry { after } => after.unwrap_or(jittered_backoff),
+            };
+            backoff = (backoff * 2).min(MAX_RETRY_BACKOFF);
+            if Instant::now() + pause >= deadline {
+                return Err(CallError::TimedOut);
+            }
+            sleep(pause).await;
+        }
+    }
+
+    async fn attempt(
+        &self,
+        request: &impl Fn(u64) -> Result<Request, Refused>,
+        deadline: Instant,
+    ) -> Attempt {
+        let call = async {
+            let connection = self.connect().await?;
+            let request = match request(connection.cluster) {
+                Ok(request) => request,
+                Err(refused) => return Ok(Err(refused)),
+            };
+            let response = connection.channel.call(request).await?;
+            io::Result::Ok(Ok(Reply { response, cluster: connection.cluster }))
+        };
+        match timeout_at(deadline, call).await {
+            Ok(Ok(Ok(reply))) => self.handle_reply(reply),
+            Ok(Ok(Err(refused))) => Attempt::Finished(Box::new(Err(CallError::Refused(refused)))),
+            Ok(Err(_)) | Err(_) => {
+                self.disconnect();
+                Attempt::Retry { after: None }
+            }
+        }
+    }
+
+    fn handle_reply(&self, reply: Reply) -> Attempt {
+        match reply.response {
+            Response::NotLeader { leader } => {
+                let after = leader.is_some().then_some(REDIRECT_DELAY);
+                self.0.leader.replace(leader.map(|address| translated(&address, self.0.translator)));
+                self.disconnect();
+                Attempt::Retry { after }
+            }
+            Response::Busy { after_ms } => {
+                Attempt::Retry { after: Some(jittered(Duration::from_millis(after_ms.into()))) }
+            }
+            Response::No(reason) => Attempt::Finished(Box::new(Err(CallError::Rejected(reason)))),
+            // It may have been carried out; the same number, sent again, tells.
+            Response::Unknown(_) => {
+                self.disconnect();
+                Attempt::Retry { after: None }
+            }
+            response => Attempt::Finished(Box::new(Ok(Reply { response, cluster: reply.cluster }))),
+        }
+    }
+}
+
+fn jittered(pause: Duration) -> Duration {
+    pause.mul_f64(chance(|rng| rng.random_range(0.5..1.5)))
+}
--- a/quota-gateway/coordination/src/main.rs
+++ b/quota-gateway/coordination/src/main.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand};
-use marblecroft_coordination::client::{Client, Failed};
+use marblecroft_coordination::client::{CallError, Client};
 use marblecroft_coordination::disk::Troubled;
 use marblecroft_coordination::env::{chance, Env};
 use marblecroft_coordination::metrics;
@@ -285,7 +285,7 @@
     Ok(())
 }
 
-fn failed(e: Failed) -> String {
+fn failed(e: CallError) -> String {
     e.to_string()
 }
 
--- a/quota-gateway/singleton-roles/src/run/candidate.rs
+++ b/quota-gateway/singleton-roles/src/run/candidate.rs
@@ -84,7 +84,7 @@
         expect: None,
         owner: Owner::Session(session.id()),
     };
-    if let Err(e) = client.call(put, CALL_TIMEOUT).await {
+    if let Err(e) = session.call(put, CALL_TIMEOUT).await {
         warn!("not a candidate: {e}");
         return;
     }
--- a/quota-gateway/singleton-roles/src/run/lease.rs
+++ b/quota-gateway/singleton-roles/src/run/lease.rs
@@ -2,7 +2,7 @@
 
 use super::timing::CALL_TIMEOUT;
 use crate::keys::Keys;
-use marblecroft_coordination::client::{Client, Failed, Lock};
+use marblecroft_coordination::client::{CallError, Client, Lock};
 use marblecroft_coordination::state::{Op, Owner, Refused};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -59,13 +59,13 @@
         // One attempt only: a retry could overwrite a later publication.
         match self.client.call(put, CALL_TIMEOUT).await {
             Ok(_) => PublishOutcome::Published,
-            Err(Failed::Refused(Refused::Fenced(_))) => {
+            Err(CallError::Refused(Refused::Fenced(_))) => {
                 self.fenced_writes.set(self.fenced_writes.get() + 1);
                 warn!(duty = %self.role, token, "{}: a word under token {token} came too late and is refused", self.role);
                 PublishOutcome::LeaseLost
             }
             // Whether it took effect is unknown; the next publication supersedes it either way.
-            Err(Failed::TimedOut) => unknown(),
+            Err(CallError::TimedOut) => unknown(),
             Err(e) => {
                 warn!(duty = %self.role, "{}: not published: {e}", self.role);
                 unknown()
--- a/testing/fault-injection/src/shell/registers.rs
+++ b/testing/fault-injection/src/shell/registers.rs
@@ -7,7 +7,7 @@
 use crate::deployment::{chance, End, Nanos, Stream, MS};
 use crate::history::{Event, Returned};
 use crate::shell::World;
-use marblecroft_coordination::client::{Client, Failed};
+use marblecroft_coordination::client::{CallError, Client};
 use marblecroft_coordination::state::{Change, Changes, Done, Op, Owner, Refused};
 use rand::Rng;
 use std::rc::Rc;
@@ -61,9 +61,9 @@
                 let value = value.to_le_bytes().to_vec();
                 match client.call(Op::Put { key, value, expect, owner: Owner::Nobody }, WAIT).await {
                     Ok(Done::At(revision)) => Returned::At { revision },
-                    Err(Failed::Refused(Refused::Conflict(revision))) => Returned::Conflict { revision },
-                    Err(Failed::Refused(Refused::Forgotten) | Failed::TimedOut) => Returned::Unknown,
-                    Ok(_) | Err(Failed::Refused(_) | Failed::No(_)) => Returned::Nothing,
+                    Err(CallError::Refused(Refused::Conflict(revision))) => Returned::Conflict { revision },
+                    Err(CallError::Refused(Refused::Forgotten) | CallError::TimedOut) => Returned::Unknown,
+                    Ok(_) | Err(CallError::Refused(_) | CallError::Rejected(_)) => Returned::Nothing,
                 }
             }
         };
