Coordination: split service, storage, disk and the program by concern, with typed errors

Change: service is service/ (connections, requests, response_budget, leadership, proposals, reads, membership); storage is storage/ (contents, writer, raft_log, record, error); disk is disk/ (overlay, faulty_file, memory_disk); the program is flags, config, server, commands, error. No circles between modules: metrics renders a status instead of asking the service, and the consensus crate's types are raft_types, on which storage and the state machine depend. The 16 functions that returned a String as their error have typed ones; each message is the line that it was. Log texts are constant with fields, but for the two lines that name an address and that operators and tests read. The crate has the workspace's lints, so every public item has a doc comment. What is sent and stored is as it was: the golden fixtures are untouched, the golden test names two methods by their new names.

--- /dev/null
+++ b/quota-gateway/coordination/src/disk/faulty_file.rs
@@ -0,0 +1,56 @@
+//! A file on a slow or failing disk.
+
+use redb::backends::FileBackend;
+use redb::StorageBackend;
+use std::io;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::Duration;
+
+/// A file on a disk whose syncs are slow, or fail after some number of them. For trials alone.
+#[derive(Debug)]
+pub struct FaultyFile {
+    file: FileBackend,
+    sync_delay: Duration,
+    fails_after: Option<u64>,
+    syncs: AtomicU64,
+}
+
+impl FaultyFile {
+    /// Returns a file of which each sync takes longer by `sync_delay`, and fails after that many syncs.
+    pub fn new(file: FileBackend, sync_delay: Duration, fails_after: Option<u64>) -> FaultyFile {
+        FaultyFile { file, sync_delay, fails_after, syncs: AtomicU64::new(0) }
+    }
+}
+
+impl StorageBackend for FaultyFile {
+    fn len(&self) -> io::Result<u64> {
+        self.file.len()
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+        self.file.read(offset, out)
+    }
+
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        self.file.set_len(len)
+    }
+
+    fn sync_data(&self) -> io::Result<()> {
+        let before = self.syncs.fetch_add(1, Ordering::Relaxed);
+        if self.fails_after.is_some_and(|most| before >= most) {
+            return Err(io::Error::other("the trial's disk takes no more syncs"));
+        }
+        // This runs on the log's own thread, or before the process serves anything.
+        thread::sleep(self.sync_delay);
+        self.file.sync_data()
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.file.write(offset, data)
+    }
+
+    fn close(&self) -> io::Result<()> {
+        self.file.close()
+    }
+}
--- a/quota-gateway/coordination/src/env.rs
+++ b/quota-gateway/coordination/src/env.rs
@@ -1,7 +1,7 @@
-//! What a process takes from the world around it: clocks, chance, and connections.
+//! The environment of a process: clocks, random numbers and connections.
 //!
-//! In production these are the system's. Whole clusters can be played on a virtual clock with others, from a seed: nothing in
-//! this crate asks the system for them past this file.
+//! In production these are the system's. With others a complete cluster runs on a virtual clock, from a seed: nothing else in
+//! this crate uses the system's.
 
 use rand::rngs::StdRng;
 use rand::SeedableRng;
@@ -15,9 +15,11 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-/// Both ways of a connection.
+/// The two directions of a connection.
 pub struct Ends {
+    /// What the peer sends.
     pub read: Box<dyn AsyncRead + Unpin>,
+    /// What is sent to the peer.
     pub write: Box<dyn AsyncWrite + Unpin>,
 }
 
@@ -28,6 +30,7 @@
     }
 }
 
+/// A connection that is being made.
 pub type Connecting = Pin<Box<dyn Future<Output = io::Result<Ends>>>>;
 
 /// How a process reaches others.
@@ -36,7 +39,7 @@
     fn connect(&self, addr: &str) -> Connecting;
 }
 
-/// Sockets of the system.
+/// The system's sockets.
 struct Sockets;
 
 impl Network for Sockets {
@@ -50,12 +53,15 @@
     }
 }
 
+/// The environment of a process.
 #[derive(Clone)]
 pub struct Env {
+    /// How other processes are reached.
     pub network: Rc<dyn Network>,
-    /// The wall clock, in ms since 1970; no decision but the tokens' floor at a change of leader rests on it.
+    /// Returns the wall clock's time in milliseconds since 1970. Only the floor of the tokens at a change of leader depends on
+    /// it.
     pub wall_ms: Rc<dyn Fn() -> u64>,
-    /// How fast this process' monotonic clock runs; 1 but for plays with clocks that run apart.
+    /// The rate of this process' monotonic clock; 1 except in simulations of clocks that run apart.
     pub rate: f64,
 }
 
@@ -71,12 +77,13 @@
 }
 
 impl Env {
+    /// Starts a monotonic clock at zero.
     pub fn clock(&self) -> Clock {
         Clock { origin: Instant::now(), rate: self.rate }
     }
 }
 
-/// A process' monotonic clock, from its start.
+/// The monotonic clock of a process.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     origin: Instant,
@@ -84,6 +91,7 @@
 }
 
 impl Clock {
+    /// Returns the time since the clock was started.
     pub fn now(&self) -> Duration {
         let since = self.origin.elapsed();
         if self.rate == 1.0 {
@@ -97,17 +105,17 @@
     static CHANCE: RefCell<StdRng> = RefCell::new(StdRng::from_os_rng());
 }
 
-/// Draws by chance.
+/// Draws from this thread's source of random numbers.
 pub fn chance<T>(draw: impl FnOnce(&mut StdRng) -> T) -> T {
     CHANCE.with(|chance| draw(&mut chance.borrow_mut()))
 }
 
-/// What this thread draws from now on follows from this seed.
+/// Seeds this thread's source of random numbers.
 pub fn seed(seed: u64) {
     CHANCE.with(|chance| chance.replace(StdRng::seed_from_u64(seed)));
 }
 
-/// The same source for the consensus crate, which asks for it by an older version of the trait.
+/// The same source for the consensus crate, which uses an older version of the trait.
 pub struct Chance;
 
 impl rand_core_06::RngCore for Chance {
--- a/quota-gateway/coordination/src/metrics.rs
+++ b/quota-gateway/coordination/src/metrics.rs
@@ -1,7 +1,6 @@
-//! Figures of a process for whoever watches over it, as a page in the usual text format, at an address of its own.
+//! Metrics of a process, as a page in the OpenMetrics text format at an address of its own.
 
-use crate::service::Service;
-use crate::wire::Request;
+use crate::wire::{Request, Status};
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::header::{HeaderValue, CONTENT_TYPE};
@@ -23,8 +22,9 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-/// Readers of the page at once, and how long one may take.
-const READERS: usize = 8;
+/// Readers of the page at once.
+const MAX_READERS: usize = 8;
+/// A reader that takes longer is disconnected.
 const READER_TIMEOUT: Duration = Duration::from_secs(5);
 
 #[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue)]
@@ -42,28 +42,30 @@
     kind: Kind,
 }
 
-/// Which bound was reached.
+/// The bound for which a call or a connection was rejected.
 #[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue)]
-pub enum Why {
+pub enum RejectionReason {
+    /// Connections at once.
     Connections,
+    /// Calls without a reply.
     Calls,
-    /// Answers that wait to be read.
+    /// Bytes of replies that wait to be written.
     Bytes,
     /// A bound of the state: sessions, locks, waiters, clients, values.
     State,
 }
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
-struct Busy {
-    why: Why,
+struct RejectionLabels {
+    why: RejectionReason,
 }
 
-/// What is counted as it happens, and what is looked up when the page is asked for.
+/// What is counted as it happens, and what is read when the page is requested.
 pub struct Metrics {
     registry: Registry,
     calls: Family<RequestLabels, Counter>,
-    busy: Family<Busy, Counter>,
-    ended: Counter,
+    rejections: Family<RejectionLabels, Counter>,
+    expired_sessions: Counter,
     gauges: Gauges,
 }
 
@@ -84,13 +86,18 @@
 }
 
 impl Metrics {
-    /// `syncs`: how long each sync of the log took.
+    /// Returns metrics that have counted nothing yet. `syncs` is how long each sync of the log took, in seconds.
     pub fn new(syncs: Histogram) -> Metrics {
         let mut registry = Registry::with_prefix("marblecroft_coordination");
-        let (calls, busy, ended) = (Family::default(), Family::default(), Counter::default());
+        let (calls, rejections, expired_sessions) =
+            (Family::default(), Family::default(), Counter::default());
         registry.register("calls", "Calls that came, by kind", Family::clone(&calls));
-        registry.register("busy", "Calls and connections turned away, by the bound", Family::clone(&busy));
-        registry.register("sessions_over", "Sessions whose time was over", Counter::clone(&ended));
+        registry.register(
+            "busy",
+            "Calls and connections turned away, by the bound",
+            Family::clone(&rejections),
+        );
+        registry.register("sessions_over", "Sessions whose time was over", Counter::clone(&expired_sessions));
         registry.register_with_unit("sync", "Writes of the log with their sync", Unit::Seconds, syncs);
         let gauges = Gauges::default();
         for (name, help, gauge) in [
@@ -109,9 +116,10 @@
         ] {
             registry.register(name, help, gauge.clone());
         }
-        Metrics { registry, calls, busy, ended, gauges }
+        Metrics { registry, calls, rejections, expired_sessions, gauges }
     }
 
+    /// Counts a request by its kind.
     pub fn count_request(&self, request: &Request) {
         let kind = match request {
             Request::Append(_) | Request::Vote(_) | Request::Install(_) => Kind::Consensus,
@@ -124,47 +132,48 @@
         self.calls.get_or_create(&RequestLabels { kind }).inc();
     }
 
-    pub fn refused(&self, why: Why) {
-        self.busy.get_or_create(&Busy { why }).inc();
+    /// Counts a call or a connection that was rejected.
+    pub fn count_rejection(&self, why: RejectionReason) {
+        self.rejections.get_or_create(&RejectionLabels { why }).inc();
     }
 
-    pub fn ended(&self, sessions: usize) {
-        self.ended.inc_by(sessions as u64);
+    /// Counts sessions whose time was over.
+    pub fn count_expired_sessions(&self, sessions: usize) {
+        self.expired_sessions.inc_by(sessions as u64);
     }
-}
 
-/// The page as it is now.
-pub fn page(service: &Service) -> String {
-    let (status, metrics) = (service.status(), &service.metrics);
-    let gauges = &metrics.gauges;
-    let voters = status.members.iter().filter(|(_, _, votes)| *votes).count();
-    for (gauge, value) in [
-        (&gauges.leads, u64::from(status.leads)),
-        (&gauges.has_leader, u64::from(status.leader.is_some())),
-        (&gauges.term, status.term),
-        (&gauges.voters, voters as u64),
-        (&gauges.last_log, status.last_log.unwrap_or(0)),
-        (&gauges.applied, status.applied.unwrap_or(0)),
-        (&gauges.revision, status.revision),
-        (&gauges.sessions, status.sessions),
-        (&gauges.locks, status.locks),
-        (&gauges.writes, status.writes),
-        (&gauges.syncs, status.syncs),
-        (&gauges.dropped_frames, status.dropped_frames),
-    ] {
-        gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
-    }
-    let mut out = String::new();
-    match text::encode(&mut out, &metrics.registry) {
-        Ok(()) => out,
-        // Into a string, so for want of memory alone.
-        Err(e) => format!("# {e}\n"),
+    /// Returns the page with the status of this process.
+    pub fn page(&self, status: &Status) -> String {
+        let gauges = &self.gauges;
+        let voters = status.members.iter().filter(|(_, _, votes)| *votes).count();
+        for (gauge, value) in [
+            (&gauges.leads, u64::from(status.leads)),
+            (&gauges.has_leader, u64::from(status.leader.is_some())),
+            (&gauges.term, status.term),
+            (&gauges.voters, voters as u64),
+            (&gauges.last_log, status.last_log.unwrap_or(0)),
+            (&gauges.applied, status.applied.unwrap_or(0)),
+            (&gauges.revision, status.revision),
+            (&gauges.sessions, status.sessions),
+            (&gauges.locks, status.locks),
+            (&gauges.writes, status.writes),
+            (&gauges.syncs, status.syncs),
+            (&gauges.dropped_frames, status.dropped_frames),
+        ] {
+            gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+        }
+        let mut out = String::new();
+        match text::encode(&mut out, &self.registry) {
+            Ok(()) => out,
+            // Into a string, so for want of memory alone.
+            Err(e) => format!("# {e}\n"),
+        }
     }
 }
 
-/// Serves a page until dropped: `GET /metrics`, one call a connection. `page` makes it as it is then.
+/// Serves a page until dropped: `GET /metrics`, one request for each connection. `page` renders it for each.
 pub async fn serve(page: impl Fn() -> String + Clone + 'static, listener: TcpListener) {
-    let readers = Arc::new(Semaphore::new(READERS));
+    let readers = Arc::new(Semaphore::new(MAX_READERS));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(Duration::from_millis(20)).await;
@@ -173,19 +182,19 @@
         let Ok(place) = readers.clone().acquire_owned().await else { return };
         let page = page.clone();
         spawn_local(async move {
-            drop(timeout(READER_TIMEOUT, hear(page, stream)).await);
+            drop(timeout(READER_TIMEOUT, serve_reader(page, stream)).await);
             drop(place);
         });
     }
 }
 
-async fn hear(page: impl Fn() -> String, stream: TcpStream) {
+async fn serve_reader(page: impl Fn() -> String, stream: TcpStream) {
     let answer = service_fn(|request: hyper::Request<hyper::body::Incoming>| {
-        let there = request.method() == Method::GET && request.uri().path() == "/metrics";
-        let text = if there { page() } else { String::new() };
+        let is_page = request.method() == Method::GET && request.uri().path() == "/metrics";
+        let text = if is_page { page() } else { String::new() };
         async move {
             let mut response = Response::new(Full::new(Bytes::from(text)));
-            if !there {
+            if !is_page {
                 *response.status_mut() = StatusCode::NOT_FOUND;
             }
             let kind = HeaderValue::from_static("application/openmetrics-text; version=1.0.0; charset=utf-8");
@@ -193,6 +202,6 @@
             Ok::<_, Infallible>(response)
         }
     });
-    // A reader that breaks off has what it wants.
+    // A reader that disconnects early has what it wants.
     drop(http1::Builder::new().keep_alive(false).serve_connection(TokioIo::new(stream), answer).await);
 }
--- a/quota-gateway/coordination/src/peers.rs
+++ b/quota-gateway/coordination/src/peers.rs
@@ -1,7 +1,7 @@
-//! How the consensus reaches the other processes.
+//! The connections of the consensus to the other processes.
 
 use crate::env::Env;
-use crate::raft::{NodeId, Types};
+use crate::raft_types::{NodeId, Types};
 use crate::wire::{Channel, Request, Response};
 use openraft::error::{InstallSnapshotError, NetworkError, RPCError, RaftError, RemoteError, Unreachable};
 use openraft::network::{RPCOption, RaftNetwork, RaftNetworkFactory};
@@ -18,16 +18,18 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-/// Reaches the members of a cluster; which one that is may be known only later.
+/// Makes connections to the members of a cluster.
 #[derive(Clone)]
 pub struct Peers {
+    /// The environment of this process.
     pub env: Env,
+    /// The cluster, which a new process learns later; 0 until then.
     pub cluster: Rc<Cell<u64>>,
-    /// Members are called at this address, with their own ports: where they stand behind a translator.
-    pub at: Option<IpAddr>,
+    /// The address at which members are called, with their own ports, if there is an address translator between.
+    pub translator: Option<IpAddr>,
 }
 
-/// The way to one process.
+/// The connection to one process, made with the first call.
 pub struct Peer {
     env: Env,
     cluster: Rc<Cell<u64>>,
@@ -36,10 +38,10 @@
     channel: Option<Channel>,
 }
 
-/// An address as it is called: at another host, where there is a translator.
-pub fn translated(addr: &str, at: Option<IpAddr>) -> String {
-    match (at, addr.parse::<SocketAddr>()) {
-        (Some(at), Ok(addr)) => SocketAddr::new(at, addr.port()).to_string(),
+/// Returns the address at which a process is called: that of the address translator, with the process' port, if there is one.
+pub fn translated(addr: &str, translator: Option<IpAddr>) -> String {
+    match (translator, addr.parse::<SocketAddr>()) {
+        (Some(translator), Ok(addr)) => SocketAddr::new(translator, addr.port()).to_string(),
         _ => addr.to_owned(),
     }
 }
@@ -49,14 +51,14 @@
 
     async fn new_client(&mut self, node: NodeId, at: &BasicNode) -> Peer {
         let (env, cluster) = (self.env.clone(), self.cluster.clone());
-        Peer { env, cluster, node, addr: translated(&at.addr, self.at), channel: None }
+        Peer { env, cluster, node, addr: translated(&at.addr, self.translator), channel: None }
     }
 }
 
-type Failed<E> = RPCError<NodeId, <Types as RaftTypeConfig>::Node, E>;
+type CallError<E> = RPCError<NodeId, <Types as RaftTypeConfig>::Node, E>;
 
 impl Peer {
-    async fn call<E: Error>(&mut self, request: Request, within: Duration) -> Result<Response, Failed<E>> {
+    async fn call<E: Error>(&mut self, request: Request, within: Duration) -> Result<Response, CallError<E>> {
         let asked = async {
             let channel = match &self.channel {
                 Some(channel) => channel.clone(),
@@ -82,8 +84,8 @@
         }
     }
 
-    /// The answer of another kind than what was asked.
-    fn strange<E: Error>(&mut self, response: &Response) -> Failed<E> {
+    /// The error for a response of another kind than the request's.
+    fn unexpected<E: Error>(&self, response: &Response) -> CallError<E> {
         let e = io::Error::other(format!("an answer of another kind: {response:?}"));
         RPCError::Network(NetworkError::new(&e))
     }
@@ -94,12 +96,12 @@
         &mut self,
         rpc: AppendEntriesRequest<Types>,
         option: RPCOption,
-    ) -> Result<AppendEntriesResponse<NodeId>, Failed<RaftError<NodeId>>> {
+    ) -> Result<AppendEntriesResponse<NodeId>, CallError<RaftError<NodeId>>> {
         match self.call(Request::Append(rpc), option.hard_ttl()).await? {
             Response::Append(answer) => {
                 answer.map_err(|e| RPCError::RemoteError(RemoteError::new(self.node, e)))
             }
-            other => Err(self.strange(&other)),
+            other => Err(self.unexpected(&other)),
         }
     }
 
@@ -107,12 +109,12 @@
         &mut self,
         rpc: InstallSnapshotRequest<Types>,
         option: RPCOption,
-    ) -> Result<InstallSnapshotResponse<NodeId>, Failed<RaftError<NodeId, InstallSnapshotError>>> {
+    ) -> Result<InstallSnapshotResponse<NodeId>, CallError<RaftError<NodeId, InstallSnapshotError>>> {
         match self.call(Request::Install(rpc), option.hard_ttl()).await? {
             Response::Install(answer) => {
                 answer.map_err(|e| RPCError::RemoteError(RemoteError::new(self.node, e)))
             }
-            other => Err(self.strange(&other)),
+            other => Err(self.unexpected(&other)),
         }
     }
 
@@ -120,12 +122,12 @@
         &mut self,
         rpc: VoteRequest<NodeId>,
         option: RPCOption,
-    ) -> Result<VoteResponse<NodeId>, Failed<RaftError<NodeId>>> {
+    ) -> Result<VoteResponse<NodeId>, CallError<RaftError<NodeId>>> {
         match self.call(Request::Vote(rpc), option.hard_ttl()).await? {
             Response::Vote(answer) => {
                 answer.map_err(|e| RPCError::RemoteError(RemoteError::new(self.node, e)))
             }
-            other => Err(self.strange(&other)),
+            other => Err(self.unexpected(&other)),
         }
     }
 }
--- /dev/null
+++ b/quota-gateway/coordination/src/service/requests.rs
@@ -0,0 +1,110 @@
+//! Dispatches requests.
+
+use super::connections::Reply;
+use super::reads::{MAX_CHANGES_BYTES, MAX_VALUES_BYTES};
+use super::response_budget::ResponseBudget;
+use super::{Service, SNAPSHOT_CHUNK_BYTES};
+use crate::metrics::RejectionReason;
+use crate::state::{bounds, SessionId};
+use crate::wire::{Request, Response};
+use std::future::Future;
+use std::time::Duration;
+
+/// A caller comes back after this time where too many calls have no reply yet.
+const TOO_MANY_CALLS_DELAY_MS: u32 = 200;
+/// A caller comes back after this time where there is no room for its reply.
+const NO_ROOM_DELAY_MS: u32 = 500;
+/// The largest reply to a watch: the last change may reach beyond the bound by its own size.
+const MAX_CHANGES_REPLY_BYTES: usize = MAX_CHANGES_BYTES + bounds::MAX_VALUE_BYTES;
+
+impl Service {
+    /// Carries out a request.
+    pub(super) async fn handle_request(&self, request: Request, budget: &ResponseBudget) -> Reply {
+        self.metrics.count_request(&request);
+        // The consensus bounds its own calls: one for each process at a time.
+        let request = match request {
+            Request::Append(rpc) => return Response::Append(self.raft.append_entries(rpc).await).into(),
+            Request::Vote(rpc) => return Response::Vote(self.raft.vote(rpc).await).into(),
+            Request::Install(rpc) => return Response::Install(self.raft.install_snapshot(rpc).await).into(),
+            request => request,
+        };
+        let Ok(_permit) = self.calls.try_acquire() else {
+            self.metrics.count_rejection(RejectionReason::Calls);
+            return Response::Busy { after_ms: TOO_MANY_CALLS_DELAY_MS }.into();
+        };
+        self.handle_call(request, budget).await
+    }
+
+    async fn handle_call(&self, request: Request, budget: &ResponseBudget) -> Reply {
+        match request {
+            Request::Identity => {
+                Response::Identity { node: self.log.identity().node, cluster: self.cluster.get() }.into()
+            }
+            Request::Join { cluster } => self.join(cluster).await.into(),
+            Request::Begin { members } => self.begin(members).await.into(),
+            Request::Add { node, addr } => self.add(node, addr).await.into(),
+            Request::Remove { node } => self.remove(node).await.into(),
+            Request::Call { client, number, done, op } => self.call(client, number, done, op).await.into(),
+            Request::Renew { sessions } => self.renew(sessions).await.into(),
+            Request::Read { prefix, stale } => {
+                self.with_reservation(budget, MAX_VALUES_BYTES, || self.read(&prefix, stale)).await
+            }
+            Request::Watch { prefix, since, wait_ms } => {
+                let wait = Duration::from_millis(wait_ms.into());
+                if let Some(response) = self.await_changes(&prefix, since, wait).await {
+                    return response.into();
+                }
+                let changes = || async { self.changes(&prefix, since) };
+                self.with_reservation(budget, MAX_CHANGES_REPLY_BYTES, changes).await
+            }
+            Request::Status => Response::Status(self.status()).into(),
+            Request::Locks => {
+                self.with_reservation(budget, MAX_VALUES_BYTES, || async { self.list_locks() }).await
+            }
+            Request::Sessions => {
+                self.with_reservation(budget, MAX_VALUES_BYTES, || async { self.list_sessions() }).await
+            }
+            Request::Snapshot { from } => {
+                self.with_reservation(budget, SNAPSHOT_CHUNK_BYTES, || self.snapshot_chunk(from)).await
+            }
+            // `handle_request` has answered these.
+            Request::Append(_) | Request::Vote(_) | Request::Install(_) => {
+                Response::No("answered above".into()).into()
+            }
+        }
+    }
+
+    /// Makes a response of at most this many bytes, once there is room for it.
+    async fn with_reservation<F: Future<Output = Response>>(
+        &self,
+        budget: &ResponseBudget,
+        bytes: usize,
+        respond: impl FnOnce() -> F,
+    ) -> Reply {
+        match budget.reserve(bytes).await {
+            Some(reservation) => Reply { response: respond().await, reservation: Some(reservation) },
+            None => {
+                self.metrics.count_rejection(RejectionReason::Bytes);
+                Response::Busy { after_ms: NO_ROOM_DELAY_MS }.into()
+            }
+        }
+    }
+
+    /// Renews sessions. Renewals are not in the log: a majority must have confirmed the leader after the call came, as whoever
+    /// leads after it gives every session its full time from then on.
+    async fn renew(&self, sessions: Vec<SessionId>) -> Response {
+        let received_at = self.now();
+        if !self.has_confirmed_leadership().await {
+            return self.not_serving();
+        }
+        let mut leadership = self.leadership.borrow_mut();
+        match leadership.as_mut() {
+            Some(leadership) => {
+                let leases = &mut leadership.leases;
+                let live = sessions.into_iter().filter(|id| leases.renewed(received_at, *id)).collect();
+                Response::Renewed(live)
+            }
+            None => Response::Busy { after_ms: super::leadership::TAKEOVER_DELAY_MS },
+        }
+    }
+}
--- a/quota-gateway/coordination/src/wire.rs
+++ b/quota-gateway/coordination/src/wire.rs
@@ -1,10 +1,10 @@
-//! Frames between processes, and between them and clients: one definition for both ends (`docs/coordination.md`).
+//! Frames between processes, and between them and clients (`docs/coordination.md`).
 //!
 //! A frame is a head of 22 bytes (magic, version, cluster, length and CRC-32 of the payload) and a message in `postcard`.
 //! Frames of another version or cluster, that are too long, or whose checksum is wrong end their connection and are counted.
 
 use crate::env::{Ends, Env};
-use crate::raft::{NodeId, Types};
+use crate::raft_types::{NodeId, Types};
 use crate::state::{Changes, ClientId, Op, Outcome, Revision, SessionId, Token};
 use openraft::error::{InstallSnapshotError, RaftError};
 use openraft::raft::{
@@ -18,166 +18,246 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 
+/// The first bytes of a frame.
 pub const MAGIC: [u8; 4] = *b"MDCO";
+/// The version of frames and messages.
 pub const VERSION: u16 = 2;
-/// The longest payload: a full batch of the largest values, and room.
+/// Bound of a payload in bytes: a full batch of the largest values, and room.
 pub const MAX_PAYLOAD_BYTES: usize = 8 << 20;
-const HEAD: usize = 22;
-/// Calls on one connection that have no answer yet.
+const HEAD_BYTES: usize = 22;
+/// Bound of the requests on one connection that have no response yet.
 pub const IN_FLIGHT: usize = 1024;
 
-/// What is asked of a process.
+/// A request to a process.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Request {
+    /// The consensus: append entries.
     Append(AppendEntriesRequest<Types>),
+    /// The consensus: vote for a candidate.
     Vote(VoteRequest<NodeId>),
+    /// The consensus: install a part of a snapshot.
     Install(InstallSnapshotRequest<Types>),
-    /// Who this process is; answered to any cluster.
+    /// Tells the identity of the process; answered to any cluster.
     Identity,
-    /// This process is of the cluster from now on; only one that is of none yet.
+    /// Makes a process that belongs to no cluster belong to one.
     Join {
+        /// The cluster.
         cluster: u64,
     },
-    /// The cluster begins with these members.
+    /// Begins the cluster.
     Begin {
+        /// The members and their addresses.
         members: BTreeMap<NodeId, String>,
     },
+    /// Adds a member.
     Add {
+        /// The process.
         node: NodeId,
+        /// Its address.
         addr: String,
     },
+    /// Removes a member.
     Remove {
+        /// The process.
         node: NodeId,
     },
+    /// Has an operation carried out, once.
     Call {
+        /// The client.
         client: ClientId,
+        /// The client's number of the call, from 1.
         number: u64,
+        /// The client has the responses to all numbers up to this one.
         done: u64,
+        /// The operation.
         op: Op,
     },
-    /// These sessions live on.
+    /// Renews sessions.
     Renew {
+        /// The sessions.
         sessions: Vec<SessionId>,
     },
-    /// Values by prefix, as of now; or as this process has them.
+    /// Reads values.
     Read {
+        /// The prefix of their keys.
         prefix: String,
+        /// Whether as this process has them, instead of as of now.
         stale: bool,
     },
-    /// Changes behind a revision, as soon as there are some, or none after this long.
+    /// Waits for changes.
     Watch {
+        /// The prefix of the keys and locks.
         prefix: String,
+        /// The revision behind which changes are reported.
         since: Revision,
+        /// The time after which the response says that there are none, in milliseconds.
         wait_ms: u32,
     },
+    /// Tells the status of the process.
     Status,
+    /// Lists the locks that are held.
     Locks,
+    /// Lists the open sessions.
     Sessions,
-    /// A part of a snapshot of the state; from 0 a new one is made.
+    /// Reads a part of a snapshot of the state.
     Snapshot {
+        /// The offset of the part in bytes; 0 makes a new snapshot.
         from: u64,
     },
 }
 
-/// What a process answers.
+/// A response to a request.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Response {
+    /// To [`Request::Append`].
     Append(Result<AppendEntriesResponse<NodeId>, RaftError<NodeId>>),
+    /// To [`Request::Vote`].
     Vote(Result<VoteResponse<NodeId>, RaftError<NodeId>>),
+    /// To [`Request::Install`].
     Install(Result<InstallSnapshotResponse<NodeId>, RaftError<NodeId, InstallSnapshotError>>),
+    /// The identity of the process.
     Identity {
+        /// The process.
         node: NodeId,
+        /// Its cluster; 0 for none.
         cluster: u64,
     },
+    /// The request was carried out.
     Done,
+    /// The result of an operation.
     Outcome(Outcome),
-    /// Which of them live on.
+    /// The sessions that were renewed; the others are over.
     Renewed(Vec<SessionId>),
-    /// Values, the revision to watch on from, and how old that may be in ms where a stale answer was asked for.
+    /// Values.
     Values {
+        /// The revision to watch on from.
         revision: Revision,
+        /// Key, value and revision of each.
         values: Vec<(String, Vec<u8>, Revision)>,
+        /// How old they may be in milliseconds, where a stale read was requested.
         age_ms: Option<u64>,
     },
+    /// Changes behind a revision.
     Changes(Changes),
+    /// The status of the process.
     Status(Status),
+    /// The locks that are held.
     Locks(Vec<LockStatus>),
+    /// The open sessions.
     Sessions(Vec<SessionStatus>),
+    /// A part of a snapshot.
     SnapshotChunk {
+        /// Bytes of the complete snapshot.
         total: u64,
+        /// The part.
         bytes: Vec<u8>,
     },
-    /// Ask there, if it is known; nothing was done.
+    /// Another process leads. Nothing was done.
     NotLeader {
+        /// Its address, if it is known.
         leader: Option<String>,
     },
-    /// Come back after so many ms; nothing was done.
+    /// A bound is reached, or the process has just become the leader. Nothing was done.
     Busy {
+        /// The time after which to try again, in milliseconds.
         after_ms: u32,
     },
-    /// One line; nothing was done.
+    /// The request was rejected, for this reason in one line. Nothing was done.
     No(String),
-    /// It may have been done.
+    /// The request may have been carried out; the reason in one line.
     Unknown(String),
 }
 
+/// What a process knows of itself and of its cluster.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
+    /// The process.
     pub node: NodeId,
+    /// Its cluster; 0 for none.
     pub cluster: u64,
+    /// Whether it leads.
     pub leads: bool,
+    /// The leader's address, if it is known.
     pub leader: Option<String>,
+    /// The consensus' term.
     pub term: u64,
+    /// Index of the last entry of the log.
     pub last_log: Option<u64>,
+    /// Index of the last entry that was applied.
     pub applied: Option<u64>,
+    /// The members with their addresses, and whether they vote.
     pub members: Vec<(NodeId, String, bool)>,
+    /// The state's revision.
     pub revision: Revision,
+    /// Later tokens are above this one.
     pub token: Token,
+    /// Number of open sessions.
     pub sessions: u64,
+    /// Number of locks that are held.
     pub locks: u64,
+    /// Writes of the log since the start.
     pub writes: u64,
+    /// Syncs of the log since the start.
     pub syncs: u64,
+    /// Frames of another cluster or version, or damaged ones.
     pub dropped_frames: u64,
 }
 
+/// A lock that is held.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LockStatus {
+    /// The lock.
     pub name: String,
+    /// The session that holds it.
     pub holder: SessionId,
+    /// The name of the session's owner.
     pub who: String,
+    /// The token that it is held under.
     pub token: Token,
+    /// Number of sessions that wait for it.
     pub waiting: u32,
 }
 
+/// An open session.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SessionStatus {
+    /// The session.
     pub id: SessionId,
+    /// The name of its owner.
     pub who: String,
+    /// Its time to live in milliseconds.
     pub ttl_ms: u32,
+    /// Number of locks that it holds or waits for.
     pub locks: u32,
 }
 
-/// A message, with the number that an answer shares with its question.
+/// A message, with the number that a response shares with its request.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Message {
+    /// A request.
     Request(u64, Request),
+    /// The response to it.
     Response(u64, Response),
 }
 
-/// Why a frame is none.
+/// Why no frame was read.
 #[derive(Debug)]
 pub enum Broken {
     /// The connection has ended, or failed.
     Ended(io::Error),
-    /// What came is no frame of this cluster and version.
+    /// The bytes are no frame of this version, for this reason.
     Strange(&'static str),
 }
 
-/// The bytes of a frame; the error is a message that is too long.
+/// Encodes a frame.
+///
+/// # Errors
+///
+/// The message is longer than [`MAX_PAYLOAD_BYTES`].
 pub fn encode(cluster: u64, message: &Message) -> io::Result<Vec<u8>> {
-    let mut frame = vec![0; HEAD];
+    let mut frame = vec![0; HEAD_BYTES];
     frame = postcard::to_extend(message, frame).map_err(io::Error::other)?;
-    let payload = &frame[HEAD..];
+    let payload = &frame[HEAD_BYTES..];
     if payload.len() > MAX_PAYLOAD_BYTES {
         return Err(io::Error::new(io::ErrorKind::InvalidInput, "a message is too long"));
     }
@@ -190,9 +270,14 @@
     Ok(frame)
 }
 
-/// Reads one frame; which cluster it names. No byte that a peer sends makes this allocate more than [`MAX_PAYLOAD_BYTES`].
+/// Reads one frame; returns the cluster that it names, and its message. Whatever a peer sends, this allocates no more than
+/// [`MAX_PAYLOAD_BYTES`].
+///
+/// # Errors
+///
+/// The connection has ended, or the bytes are no frame.
 pub async fn read(from: &mut (impl AsyncRead + Unpin)) -> Result<(u64, Message), Broken> {
-    let mut head = [0; HEAD];
+    let mut head = [0; HEAD_BYTES];
     from.read_exact(&mut head).await.map_err(Broken::Ended)?;
     let word = |at: usize| u32::from_le_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
     if head[..4] != MAGIC {
@@ -217,13 +302,21 @@
     }
 }
 
+/// Writes one frame.
+///
+/// # Errors
+///
+/// The message is too long, or the connection fails.
 pub async fn write(to: &mut (impl AsyncWrite + Unpin), cluster: u64, message: &Message) -> io::Result<()> {
     to.write_all(&encode(cluster, message)?).await
 }
 
+/// Responses that were read and not yet given to their callers, at most.
+const MAX_QUEUED_RESPONSES: usize = 64;
+
 type PendingRequest = (Request, oneshot::Sender<Response>);
 
-/// A connection on which many may ask at once.
+/// A connection on which many requests may be pending at once; clones share it.
 #[derive(Clone)]
 pub struct Channel {
     requests: mpsc::Sender<PendingRequest>,
@@ -231,60 +324,74 @@
 
 impl Channel {
     /// Connects over a socket; the caller bounds how long that may take.
+    ///
+    /// # Errors
+    ///
+    /// There is no connection.
     pub async fn connect(addr: &str, cluster: u64) -> io::Result<Channel> {
         Channel::connect_in(&Env::default(), addr, cluster).await
     }
 
+    /// Connects in this environment; the caller bounds how long that may take.
+    ///
+    /// # Errors
+    ///
+    /// There is no connection.
     pub async fn connect_in(env: &Env, addr: &str, cluster: u64) -> io::Result<Channel> {
         let ends = env.network.connect(addr).await?;
-        let (asks, asked) = mpsc::channel(IN_FLIGHT);
-        spawn_local(converse(ends, cluster, asked));
-        Ok(Channel { requests: asks })
+        let (requests, queued_requests) = mpsc::channel(IN_FLIGHT);
+        spawn_local(run_channel(ends, cluster, queued_requests));
+        Ok(Channel { requests })
     }
 
-    /// Asks, and waits for the answer; an error: the connection has ended, and it may have been done.
+    /// Sends a request, and waits for its response.
+    ///
+    /// # Errors
+    ///
+    /// The connection has ended. The request may have been carried out.
     pub async fn call(&self, request: Request) -> io::Result<Response> {
-        let (answer, answered) = oneshot::channel();
+        let (response_sender, response) = oneshot::channel();
         let ended = || io::Error::new(io::ErrorKind::ConnectionReset, "the connection has ended");
-        self.requests.send((request, answer)).await.map_err(|_| ended())?;
-        answered.await.map_err(|_| ended())
+        self.requests.send((request, response_sender)).await.map_err(|_| ended())?;
+        response.await.map_err(|_| ended())
     }
 }
 
-/// Serves a channel until its connection ends or nobody can ask any more.
-async fn converse(ends: Ends, cluster: u64, mut asked: mpsc::Receiver<PendingRequest>) {
+/// Sends the requests of a channel, and distributes the responses, until the connection ends or the channel is dropped.
+async fn run_channel(ends: Ends, cluster: u64, mut requests: mpsc::Receiver<PendingRequest>) {
     let (read_half, mut write_half) = (ends.read, ends.write);
-    // Frames are read on a task of their own: a read that is given up halfway would lose what it has.
-    let (come, mut answers) = mpsc::channel(64);
+    // Frames are read by a task of their own: a read that is cancelled halfway would lose what it has.
+    let (received, mut responses) = mpsc::channel(MAX_QUEUED_RESPONSES);
     let reader = spawn_local(async move {
-        let mut from = BufReader::new(read_half);
-        while let Ok((_, Message::Response(number, response))) = read(&mut from).await {
-            if come.send((number, response)).await.is_err() {
+        let mut stream = BufReader::new(read_half);
+        while let Ok((_, Message::Response(number, response))) = read(&mut stream).await {
+            if received.send((number, response)).await.is_err() {
                 return;
             }
         }
     });
-    let mut waiting: HashMap<u64, oneshot::Sender<Response>> = HashMap::new();
-    let mut next = 0;
+    let mut pending: HashMap<u64, oneshot::Sender<Response>> = HashMap::new();
+    let mut last_number = 0;
     loop {
         tokio::select! {
-            // Played again from a seed, the same is chosen.
+            // The order is fixed, so that a simulation can be replayed from its seed.
             biased;
-            asked = asked.recv(), if waiting.len() < IN_FLIGHT => {
-                let Some((request, answer)) = asked else { break };
-                // Whoever gave up needs no room any more.
-                waiting.retain(|_, answer| !answer.is_closed());
-                next += 1;
-                waiting.insert(next, answer);
-                if write(&mut write_half, cluster, &Message::Request(next, request)).await.is_err() {
+            request = requests.recv(), if pending.len() < IN_FLIGHT => {
+                let Some((request, response_sender)) = request else { break };
+                // Callers that gave up need no room any more.
+                pending.retain(|_, response_sender| !response_sender.is_closed());
+                last_number += 1;
+                pending.insert(last_number, response_sender);
+                let message = Message::Request(last_number, request);
+                if write(&mut write_half, cluster, &message).await.is_err() {
                     break;
                 }
             }
-            answer = answers.recv() => {
-                let Some((number, response)) = answer else { break };
-                // Nobody waits for it any more, or it is no answer to anything.
-                if let Some(waiting) = waiting.remove(&number) {
-                    drop(waiting.send(response));
+            response = responses.recv() => {
+                let Some((number, response)) = response else { break };
+                // Its caller may have gone, or it is a response to nothing.
+                if let Some(response_sender) = pending.remove(&number) {
+                    drop(response_sender.send(response));
                 }
             }
         }
--- a/quota-gateway/coordination/tests/golden.rs
+++ b/quota-gateway/coordination/tests/golden.rs
@@ -339,8 +339,8 @@
     same_bytes("state.hex", &read.snapshot().expect("bytes"));
 }
 
-const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
-const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
+const LOG: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("log");
+const META: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("meta");
 
 fn folder(name: &str) -> PathBuf {
     let path = std::env::temp_dir().join(format!("mapledeck-golden-{name}-{}", std::process::id()));
@@ -414,7 +414,7 @@
         store.join(CLUSTER).await.expect("written");
         store.save_vote(vote).await.expect("written");
         store.save_committed(Some(committed)).await.expect("kept");
-        store.keep_snapshot(stored).await.expect("written");
+        store.write_snapshot(stored).await.expect("written");
         store.purge(purged).await.expect("written");
         store.blocking_append(entries).await.expect("written");
     });
@@ -438,7 +438,7 @@
         )
     });
     let purged = held_state.last_purged_log_id.expect("an entry");
-    let held_stored = store.snapshot().expect("in memory").expect("a snapshot");
+    let held_stored = store.snapshot().expect("a snapshot");
     assert_eq!((held_vote, held_committed, purged), (vote(), log_id(204), log_id(202)));
     assert_eq!(format!("{held_entries:?}"), format!("{:?}", entries()));
     assert_eq!(held_stored, stored());
--- a/quota-gateway/coordination/tests/storage.rs
+++ b/quota-gateway/coordination/tests/storage.rs
@@ -1,6 +1,6 @@
 //! The log's store: the consensus crate's own suite for stores, and disks that crash, tear and fail.
 
-use marblecroft_coordination::disk::Memory as Disk;
+use marblecroft_coordination::disk::MemoryDisk as Disk;
 use marblecroft_coordination::raft::{Machine, NodeId, Types};
 use marblecroft_coordination::state::Command;
 use marblecroft_coordination::storage::{LogStore, Writer};
@@ -103,7 +103,7 @@
             );
             (last, _, vote) = runtime.block_on(work(&mut store, &mut rng));
             image = disk.after_crash(&mut rng);
-            crashes += u64::from(disk.stopped());
+            crashes += u64::from(disk.has_stopped());
         }
     }
     assert!(crashes > 80, "{crashes} crashes in 240 lives");
@@ -154,6 +154,7 @@
         }
         std::fs::write(&path, &image).expect("written");
         let error = LogStore::open(&folder).err().expect("damage");
+        let error = error.to_string();
         assert!(error.starts_with(&path.display().to_string()) && !error.contains('\n'), "{error}");
         // A store that was not closed in order is looked through by the crate that keeps it, which names no place. The record
         // begins with its checksum, before what was looked for.
--- a/testing/fault-injection/tests/clusters.rs
+++ b/testing/fault-injection/tests/clusters.rs
@@ -3,7 +3,7 @@
 //! real processes. `CLUSTER_SEEDS=1000 cargo test -p marblecroft-fault-injection --test clusters` plays more seeds than usual.
 
 use marblecroft_coordination::client::Client;
-use marblecroft_coordination::disk::Memory;
+use marblecroft_coordination::disk::MemoryDisk;
 use marblecroft_coordination::env::{self, Connecting, Ends, Env, Network};
 use marblecroft_coordination::service::{Service, Settings};
 use marblecroft_coordination::state::{Op, Owner};
@@ -151,7 +151,7 @@
     end: End,
     env: Env,
     image: RefCell<Vec<u8>>,
-    disk: RefCell<Memory>,
+    disk: RefCell<MemoryDisk>,
     /// How long a sync takes.
     sync: Rc<Cell<Duration>>,
     process: RefCell<Option<Rc<Process>>>,
@@ -208,7 +208,7 @@
                 end,
                 env,
                 image: RefCell::default(),
-                disk: RefCell::new(Memory::new(Vec::new())),
+                disk: RefCell::new(MemoryDisk::new(Vec::new())),
                 sync: Rc::new(Cell::new(Duration::from_millis(2))),
                 process: RefCell::new(None),
                 failed: Rc::new(Cell::new(false)),
@@ -237,7 +237,7 @@
         if node.process.borrow().is_some() {
             return;
         }
-        let disk = Memory::new(node.image.borrow().clone());
+        let disk = MemoryDisk::new(node.image.borrow().clone());
         node.disk.replace(disk.clone());
         node.failed.set(false);
         let process = Rc::new(Process {
@@ -254,12 +254,12 @@
             let takes: Rc<dyn Fn() -> Duration> = Rc::new(move || sync.get());
             let Ok(log) = LogStore::on(disk, true, Writes::Task(takes)) else { return failed.set(true) };
             let settings = Settings {
-                peers_at: None,
-                heartbeat: Duration::from_millis(50),
-                election: Duration::from_millis(300),
-                snapshot_every: 100,
-                connections: 256,
-                calls: 1024,
+                translator: None,
+                heartbeat_interval: Duration::from_millis(50),
+                election_timeout: Duration::from_millis(300),
+                entries_per_snapshot: 100,
+                max_connections: 256,
+                max_calls: 1024,
             };
             let Ok(service) = Service::start(env, settings, log).await else { return failed.set(true) };
             let admitting = service.clone();
@@ -268,7 +268,7 @@
                     admitting.admit(ends);
                 }
             });
-            while service.failed().is_none() {
+            while service.failure().is_none() {
                 sleep(Duration::from_millis(50)).await;
             }
             failed.set(true);
