--- /dev/null
+++ b/testing/fault-injection/src/checker/findings.rs
@@ -0,0 +1,83 @@
+//! The findings at the end of a history: which invariants hold, and which do not apply.
+
+use super::{Checker, Finding, INVARIANTS, LIST_LACKS_SERVER};
+use crate::endpoint::Kind;
+use crate::error::IncompleteHistory;
+use crate::scenario::FaultKind;
+use std::collections::BTreeMap;
+
+impl Checker {
+    /// All invariants, by name.
+    ///
+    /// # Errors
+    ///
+    /// The history is incomplete.
+    pub fn findings(mut self) -> Result<BTreeMap<&'static str, Finding>, IncompleteHistory> {
+        let setup = self.setup.take().ok_or(IncompleteHistory::NoSetup)?;
+        if !self.finished {
+            return Err(IncompleteHistory::Unfinished);
+        }
+        self.check_tries(&setup);
+        self.check_registers();
+        self.check_attempts();
+        let mut findings = std::mem::take(&mut self.cases);
+        let touches = |kind: Kind| {
+            setup.faults.iter().any(|fault| {
+                fault.kind.of_links()
+                    && (fault.from.is_empty()
+                        || fault.victims.iter().chain(&fault.from).any(|e| e.kind() == kind))
+            })
+        };
+        let strikes = |kind: Kind, wanted: &[FaultKind]| {
+            setup.faults.iter().any(|fault| {
+                wanted.contains(&fault.kind) && fault.victims.iter().any(|victim| victim.kind() == kind)
+            })
+        };
+        let ends = [FaultKind::Kill, FaultKind::Restart, FaultKind::Wipe, FaultKind::Term, FaultKind::Stop];
+        let mut moot: Vec<(&str, &str)> = vec![];
+        if touches(Kind::PayServers) {
+            moot.push((
+                "ceilings_kept",
+                "links to pay servers fail, so arrivals do not tell when something was sent",
+            ));
+        }
+        moot.push(("units_once", "the program has no takeover, under which it is asked"));
+        if setup.coordinators == 0 {
+            for name in ["one_owner", "fenced", "tokens_rise"] {
+                moot.push((name, "the fleet has no coordinators"));
+            }
+        }
+        let mut lists = Vec::new();
+        if setup.list_processes == 0 {
+            lists.push(("nothing_acknowledged_lost", "the fleet has no list service that acknowledges"));
+        } else if strikes(Kind::ListService, &[FaultKind::Wipe]) {
+            lists.push(("nothing_acknowledged_lost", "the list service's folder is taken away"));
+        } else if strikes(Kind::PayServers, &ends)
+            || touches(Kind::PayServers)
+            || touches(Kind::ListService)
+            || strikes(Kind::ListService, &[FaultKind::Stop, FaultKind::FullDisk])
+        {
+            lists.push((
+                "nothing_acknowledged_lost",
+                "leases may end for want of renewals, so a server may leave",
+            ));
+        }
+        if let Some(lacks) = findings.remove(LIST_LACKS_SERVER).filter(|_| lists.is_empty()) {
+            let all = findings.entry("nothing_acknowledged_lost").or_default();
+            all.holds = Some(false);
+            all.cases += lacks.cases;
+            all.why.extend(lacks.why);
+        }
+        // What the coordinators acknowledged is judged by itself; where there are none, there is only the list.
+        if setup.coordinators == 0 {
+            moot.append(&mut lists);
+        }
+        for (name, why) in moot {
+            findings.insert(name, Finding { holds: None, why: vec![why.to_owned()], cases: 0 });
+        }
+        for name in INVARIANTS {
+            findings.entry(name).or_insert(Finding { holds: Some(true), ..Finding::default() });
+        }
+        Ok(findings)
+    }
+}
--- /dev/null
+++ b/testing/fault-injection/src/checker/registers.rs
@@ -0,0 +1,108 @@
+//! Registers of the coordination service: linearizable, and nothing acknowledged is missed by a watcher.
+
+use super::{seconds, Checker};
+use crate::deployment::Nanos;
+use crate::history::Returned;
+use crate::linear::{self, Call, Op, Ret};
+use std::collections::BTreeMap;
+
+/// What a watcher was told in one life of its watch.
+#[derive(Default)]
+pub(super) struct Watched {
+    pub(super) from: u64,
+    pub(super) upto: u64,
+    pub(super) told: BTreeMap<u64, (u16, u64)>,
+}
+
+impl Checker {
+    /// A call on a register has its answer. One of which nothing was done is as if it had never been made; so is a read that
+    /// was given up.
+    pub(super) fn returned(&mut self, at: Nanos, call: u64, returned: Returned) {
+        let ret = match returned {
+            Returned::Value { value, revision } => Ret::Value { value, revision },
+            Returned::At { revision } => Ret::At(revision),
+            Returned::Conflict { revision } => Ret::Conflict(revision),
+            Returned::Nothing => {
+                self.calls.remove(&call);
+                return;
+            }
+            Returned::Unknown => return,
+        };
+        if let Some((_, call)) = self.calls.get_mut(&call) {
+            call.answer = Some((at, ret));
+        }
+    }
+
+    pub(super) fn watched(
+        &mut self,
+        at: Nanos,
+        watcher: u16,
+        since: Option<u64>,
+        upto: u64,
+        changes: &[(u64, u16, u64)],
+    ) {
+        let lives = self.watches.entry(watcher).or_default();
+        let Some(since) = since else {
+            return lives.push(Watched { from: upto, upto, told: BTreeMap::new() });
+        };
+        let Some(life) = lives.last_mut() else { return };
+        let in_order = changes.windows(2).all(|pair| pair[0].0 < pair[1].0);
+        let behind = changes.iter().all(|(revision, ..)| *revision > since && *revision <= upto);
+        if since != life.upto || upto < since || !in_order || !behind {
+            self.broken("nothing_acknowledged_lost", || {
+                format!(
+                    "candidates[{watcher}] watches from {since} and is told up to {upto} out of order at {}",
+                    seconds(at)
+                )
+            });
+            return;
+        }
+        life.upto = upto;
+        life.told.extend(changes.iter().map(|(revision, register, value)| (*revision, (*register, *value))));
+    }
+
+    /// Registers are linearizable, and no watcher misses what was acknowledged.
+    pub(super) fn check_registers(&mut self) {
+        let mut of: BTreeMap<u16, Vec<Call>> = BTreeMap::new();
+        for (register, call) in std::mem::take(&mut self.calls).into_values() {
+            // A read that nobody answered says nothing.
+            if call.answer.is_some() || call.op != Op::Read {
+                of.entry(register).or_default().push(call);
+            }
+        }
+        for (register, calls) in &of {
+            match linear::judge(calls) {
+                linear::Verdict::Linear => {}
+                linear::Verdict::Not => self.broken("nothing_acknowledged_lost", || {
+                    format!("register-{register}: no order of its {} calls explains their answers", calls.len())
+                }),
+                linear::Verdict::Undecided => self.broken("nothing_acknowledged_lost", || {
+                    format!("register-{register}: it cannot be decided whether an order of its calls explains the answers")
+                }),
+            }
+        }
+        for (watcher, lives) in std::mem::take(&mut self.watches) {
+            for life in lives {
+                for (register, call) in
+                    of.iter().flat_map(|(of, calls)| calls.iter().map(move |call| (*of, call)))
+                {
+                    let (Op::Put { value, .. }, Some((at, Ret::At(revision)))) = (call.op, call.answer)
+                    else {
+                        continue;
+                    };
+                    if revision <= life.from || revision > life.upto {
+                        continue;
+                    }
+                    if life.told.get(&revision) != Some(&(register, value)) {
+                        self.broken("nothing_acknowledged_lost", || {
+                            format!(
+                                "candidates[{watcher}] was not told of revision {revision} of register-{register}, acknowledged at {}",
+                                seconds(at)
+                            )
+                        });
+                    }
+                }
+            }
+        }
+    }
+}
--- a/testing/fault-injection/src/compare.rs
+++ b/testing/fault-injection/src/compare.rs
@@ -1,5 +1,6 @@
 //! Two runs side by side; or two folders of runs, with the spread over their seeds.
 
+use crate::error::RecordingError;
 use crate::figures::Summary;
 use crate::shell::run::{HISTORY, SUMMARY};
 use crate::verdict::judge;
@@ -9,29 +10,28 @@
 use std::path::Path;
 
 /// The runs in a folder: itself, or those in it.
-fn runs(dir: &Path) -> Result<Vec<Summary>, String> {
-    let place = |e: &dyn std::fmt::Display| format!("{}: {e}", dir.display());
+fn runs(dir: &Path) -> Result<Vec<Summary>, RecordingError> {
+    let unreadable = |error| RecordingError::File(dir.to_owned(), error);
     if dir.join(HISTORY).is_file() {
         return Ok(vec![summary(dir)?]);
     }
     let mut runs = Vec::new();
-    for entry in fs::read_dir(dir).map_err(|e| place(&e))? {
-        let path = entry.map_err(|e| place(&e))?.path();
+    for entry in fs::read_dir(dir).map_err(unreadable)? {
+        let path = entry.map_err(unreadable)?.path();
         if path.join(HISTORY).is_file() {
             runs.push(summary(&path)?);
         }
     }
     match runs.is_empty() {
-        true => Err(place(&"no run is kept there")),
+        true => Err(RecordingError::NoRun(dir.to_owned())),
         false => Ok(runs),
     }
 }
 
-fn summary(dir: &Path) -> Result<Summary, String> {
-    match fs::read(dir.join(SUMMARY)) {
-        Ok(text) => {
-            serde_json::from_slice(&text).map_err(|e| format!("{}: {e}", dir.join(SUMMARY).display()))
-        }
+fn summary(dir: &Path) -> Result<Summary, RecordingError> {
+    let path = dir.join(SUMMARY);
+    match fs::read(&path) {
+        Ok(text) => serde_json::from_slice(&text).map_err(|error| RecordingError::Summary(path, error)),
         Err(_) => Ok(judge(dir)?.0.summary),
     }
 }
@@ -65,8 +65,12 @@
     Some((*values.first()?, values[values.len() / 2], *values.last()?))
 }
 
-/// A table; the error names a folder that holds no run.
-pub fn compare(one: &Path, other: &Path) -> Result<String, String> {
+/// Returns a table of the figures of two runs, or of two folders of runs.
+///
+/// # Errors
+///
+/// A folder holds no run, or one that cannot be read.
+pub fn compare(one: &Path, other: &Path) -> Result<String, RecordingError> {
     let sides = [runs(one)?, runs(other)?];
     let figured: Vec<Vec<_>> = sides.iter().map(|runs| runs.iter().map(figures).collect()).collect();
     let mut names: Vec<&String> = figured.iter().flatten().flat_map(|run| run.keys()).collect();
--- a/testing/fault-injection/src/decided.rs
+++ b/testing/fault-injection/src/decided.rs
@@ -4,9 +4,10 @@
 mod books;
 mod shares;
 
-use crate::deployment::{End, Nanos, MS, SECOND};
+use crate::checker::Finding;
+use crate::deployment::{Nanos, MS, SECOND};
+use crate::endpoint::End;
 use crate::history::{At, Duty, Event, Life, Outcome, Setup, Trace, ZoneState};
-use crate::judge::Finding;
 use std::collections::{BTreeMap, HashMap};
 
 /// The invariants that are judged here.
--- a/testing/fault-injection/src/deployment.rs
+++ b/testing/fault-injection/src/deployment.rs
@@ -1,8 +1,9 @@
 //! What a scenario and a seed come to: who the customers are, how fast each server is, what each gateway is told, and whom
 //! each fault strikes. The same scenario and seed give the same deployment, load and faults, on every machine.
 
+use crate::endpoint::{End, Kind};
 use crate::scenario::in_common::Tenants;
-use crate::scenario::{Fault, FaultKind, Kind, Scenario, Target};
+use crate::scenario::{Fault, FaultKind, Scenario, ScenarioError, Target};
 use rand::seq::{index, SliceRandom};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -10,7 +11,6 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
-use std::fmt::{self, Display};
 
 /// Nanoseconds, since the run's begin where it is an instant.
 pub type Nanos = u64;
@@ -18,71 +18,6 @@
 pub const MS: Nanos = 1_000_000;
 pub const SECOND: Nanos = 1_000 * MS;
 
-/// One end of a link.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum End {
-    /// All clients, and the front before the gateways.
-    Clients,
-    Gateway(u16),
-    PayServer(u16),
-    ListService(u16),
-    Counter,
-    Coordinator(u16),
-    /// A stand-in of a process that would own work of the fleet.
-    Candidate(u16),
-    Steward(u16),
-    Cell(u16),
-}
-
-impl End {
-    pub fn kind(self) -> Kind {
-        match self {
-            End::Clients => Kind::Clients,
-            End::Gateway(_) => Kind::Gateways,
-            End::PayServer(_) => Kind::PayServers,
-            End::ListService(_) => Kind::ListService,
-            End::Counter => Kind::Counter,
-            End::Coordinator(_) => Kind::Coordinators,
-            End::Candidate(_) => Kind::Candidates,
-            End::Steward(_) => Kind::Stewards,
-            End::Cell(_) => Kind::Cells,
-        }
-    }
-
-    /// Of a kind's members by their numbers; `None` for kinds that have none here.
-    fn of(kind: Kind, index: u32) -> Option<End> {
-        let index = u16::try_from(index).ok()?;
-        Some(match kind {
-            Kind::Clients => End::Clients,
-            Kind::Gateways => End::Gateway(index),
-            Kind::PayServers => End::PayServer(index),
-            Kind::ListService => End::ListService(index),
-            Kind::Counter => End::Counter,
-            Kind::Coordinators => End::Coordinator(index),
-            Kind::Candidates => End::Candidate(index),
-            Kind::Stewards => End::Steward(index),
-            Kind::Cells => End::Cell(index),
-        })
-    }
-}
-
-impl Display for End {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            End::Clients | End::Counter => f.write_str(self.kind().name()),
-            End::Gateway(i)
-            | End::PayServer(i)
-            | End::ListService(i)
-            | End::Coordinator(i)
-            | End::Candidate(i)
-            | End::Steward(i)
-            | End::Cell(i) => {
-                write!(f, "{}[{i}]", self.kind().name())
-            }
-        }
-    }
-}
-
 /// What chance is drawn for; each has a stream of its own, so that a draw more for one moves no other.
 #[derive(Clone, Copy)]
 pub enum Stream {
@@ -184,8 +119,12 @@
 pub const METER_PERIOD: Nanos = 500 * MS;
 
 impl Deployment {
-    /// Draws; the error names the field of faults that contradict each other.
-    pub fn draw(scenario: &Scenario, seed: u64) -> Result<Deployment, String> {
+    /// Draws a deployment from a seed.
+    ///
+    /// # Errors
+    ///
+    /// Two faults suspend or end the same process at the same time.
+    pub fn draw(scenario: &Scenario, seed: u64) -> Result<Deployment, ScenarioError> {
         let mut rng = chance(seed, Stream::Deployment);
         let site = &scenario.site;
         let (customers, quotas) = match &scenario.tenants {
@@ -377,7 +316,7 @@
     (customers, quotas.collect())
 }
 
-fn faults(scenario: &Scenario, rng: &mut ChaCha8Rng) -> Result<Vec<Drawn>, String> {
+fn faults(scenario: &Scenario, rng: &mut ChaCha8Rng) -> Result<Vec<Drawn>, ScenarioError> {
     let mut drawn: Vec<Drawn> = Vec::new();
     // Until when each is down or stopped, and by which fault.
     let mut held: BTreeMap<End, Vec<(Nanos, Nanos, usize)>> = BTreeMap::new();
@@ -400,8 +339,9 @@
                 let spans = held.entry(victim).or_default();
                 let end = until.unwrap_or(Nanos::MAX).max(at + 1);
                 if let Some((.., other)) = spans.iter().find(|(a, b, _)| *a < end && at < *b) {
-                    return Err(format!(
-                        "fault[{i}].target: {victim} is held by fault[{other}] at that time"
+                    return Err(ScenarioError::invalid(
+                        format!("fault[{i}].target"),
+                        format!("{victim} is held by fault[{other}] at that time"),
                     ));
                 }
                 spans.push((at, end, i));
--- a/testing/fault-injection/src/draw.rs
+++ b/testing/fault-injection/src/draw.rs
@@ -4,7 +4,9 @@
 //! down, or not a number where one is needed, is refused with its name.
 
 use crate::deployment::{chance, Stream};
-use crate::scenario::{Expect, Fault, FaultKind, Kind, Plan, Scenario, Target};
+use crate::endpoint::Kind;
+use crate::scenario::{Expect, Fault, FaultKind, Plan, Scenario, ScenarioError, Target};
+use quick_error::quick_error;
 use rand::seq::IndexedRandom;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -176,54 +178,92 @@
     weight: Option<f64>,
 }
 
+quick_error! {
+    /// Why no scenario can be drawn from a site file. Each is one line that names the field.
+    #[derive(Debug)]
+    pub enum SiteFileError {
+        /// The file is no TOML, or has a value of another type.
+        Syntax(line: usize, message: String) {
+            display("line {}: {}", line, message)
+        }
+        /// A field has a value that is not allowed.
+        Invalid(field: String, reason: String) {
+            display("{}: {}", field, reason)
+        }
+        /// What was drawn is no scenario that can be used.
+        Scenario(error: ScenarioError) {
+            display("{}", error)
+            source(error)
+            from()
+        }
+        /// The scenario cannot be written.
+        Encode(error: toml::ser::Error) {
+            display("{}", error)
+            source(error)
+            from()
+        }
+    }
+}
+
+fn invalid(field: impl Into<String>, reason: impl Into<String>) -> SiteFileError {
+    SiteFileError::Invalid(field.into(), reason.into())
+}
+
 /// Draws from ranges, and tells by name which one cannot be drawn from.
 struct Draws {
     rng: ChaCha8Rng,
 }
 
 impl Draws {
-    fn of(&mut self, name: &str, range: Range) -> Result<f64, String> {
+    fn of(&mut self, name: &str, range: Range) -> Result<f64, SiteFileError> {
         let [least, most] = match range {
             Range::Fixed(value) => [value, value],
             Range::Between(both) => both,
         };
         match least <= most && least.is_finite() && most.is_finite() {
             true => Ok(least + (most - least) * self.rng.random::<f64>()),
-            false => Err(format!("{name}: [{least}, {most}] is upside down")),
+            false => Err(invalid(name, format!("[{least}, {most}] is upside down"))),
         }
     }
 
-    fn maybe(&mut self, name: &str, range: Option<Range>, usual: f64) -> Result<f64, String> {
+    fn maybe(&mut self, name: &str, range: Option<Range>, usual: f64) -> Result<f64, SiteFileError> {
         range.map_or(Ok(usual), |range| self.of(name, range))
     }
 
-    fn whole(&mut self, name: &str, range: Range) -> Result<u64, String> {
+    fn whole(&mut self, name: &str, range: Range) -> Result<u64, SiteFileError> {
         Ok(self.of(name, range)?.floor().max(0.0) as u64)
     }
 }
 
-/// A scenario as a file's text; the error is one line that names the field.
-pub fn draw(text: &str, seed: u64) -> Result<String, String> {
-    let site: SiteFile = toml::from_str(text).map_err(|e| {
-        let line = e.span().map_or(1, |span| text[..span.start].matches('\n').count() + 1);
-        format!("line {line}: {}", e.message().replace('\n', " "))
+/// Returns a scenario, as the text of its file, that is drawn from a site file's ranges.
+///
+/// # Errors
+///
+/// See [`SiteFileError`].
+pub fn draw(text: &str, seed: u64) -> Result<String, SiteFileError> {
+    let site: SiteFile = toml::from_str(text).map_err(|error| {
+        let line = error.span().map_or(1, |span| text[..span.start].matches('\n').count() + 1);
+        SiteFileError::Syntax(line, error.message().replace('\n', " "))
     })?;
     let mut draws = Draws { rng: chance(seed, Stream::Deployment) };
     let scenario = scenario(&site, &mut draws)?;
-    let text = toml::to_string(&scenario).map_err(|e| e.to_string())?;
+    let text = toml::to_string(&scenario)?;
     // What is drawn must be what the lab takes.
     Scenario::parse(&text)?;
     Ok(format!("# Drawn with seed {seed}.\n{text}"))
 }
 
-fn scenario(site: &SiteFile, draws: &mut Draws) -> Result<Scenario, String> {
+fn scenario(site: &SiteFile, draws: &mut Draws) -> Result<Scenario, SiteFileError> {
     let mut drawn = Scenario::default();
-    let tier = site.tier.first().ok_or("tier: the site has none")?;
-    let machine = tier.kind.first().ok_or("tier.kind: the tier has none")?;
-    let safe =
-        site.class.iter().find(|class| class.effect == "safe").ok_or("class: none is safe to repeat")?;
+    let tier = site.tier.first().ok_or_else(|| invalid("tier", "the site has none"))?;
+    let machine = tier.kind.first().ok_or_else(|| invalid("tier.kind", "the tier has none"))?;
+    let safe = site
+        .class
+        .iter()
+        .find(|class| class.effect == "safe")
+        .ok_or_else(|| invalid("class", "none is safe to repeat"))?;
     let unsafe_class = site.class.iter().find(|class| class.effect == "unsafe");
-    let unsafe_class = unsafe_class.ok_or("class: none must never run twice")?;
+    let unsafe_class = unsafe_class.ok_or_else(|| invalid("class", "none must never run twice"))?;
 
     let figures = &mut drawn.site;
     figures.work_ms = draws.of(&format!("class {}.work_ms", safe.name), safe.work_ms)?;
@@ -254,7 +294,7 @@
     figures.counter_per_s = draws.maybe("fam.counter_per_s", site.fam.counter_per_s, 640.0)?;
     figures.skew = draws.maybe("fam.skew", site.fam.skew, 0.7)?;
     if site.tenant.len() != site.fam.plan.len() {
-        return Err("fam.plan: there are not as many as tenants".to_owned());
+        return Err(invalid("fam.plan", "there are not as many as tenants"));
     }
     let mut plans = Vec::new();
     for (tenant, plan) in site.tenant.iter().zip(&site.fam.plan) {
@@ -299,7 +339,7 @@
         let at = (load.duration_ms as f64 * (0.2 + 0.7 * i as f64 / troubled as f64)) as u64;
         let most = (load.duration_ms as f64 * 0.6 / troubled as f64) as u64;
         let weights = names.choose_weighted(&mut draws.rng, |trouble| trouble.weight.unwrap_or(1.0));
-        let trouble = *weights.map_err(|e| format!("trouble.weight: {e}"))?;
+        let trouble = *weights.map_err(|error| invalid("trouble.weight", error.to_string()))?;
         names.retain(|other| !std::ptr::eq(*other, trouble));
         drawn.faults.extend(fault(trouble, at, most, draws)?);
     }
@@ -308,7 +348,12 @@
 }
 
 /// The fault that a trouble of the site comes to; none where the trouble is in the load and not between processes.
-fn fault(trouble: &Trouble, at_ms: u64, most: u64, draws: &mut Draws) -> Result<Option<Fault>, String> {
+fn fault(
+    trouble: &Trouble,
+    at_ms: u64,
+    most: u64,
+    draws: &mut Draws,
+) -> Result<Option<Fault>, SiteFileError> {
     let name = |field: &str| format!("trouble {}.{field}", trouble.name);
     let length = draws.maybe(&name("len_s"), trouble.len_s, 2.0)?;
     let part = draws.maybe(&name("part"), trouble.part, 0.3)?;
--- /dev/null
+++ b/testing/fault-injection/src/endpoint.rs
@@ -0,0 +1,131 @@
+//! The processes and stand-ins of a fleet, which are the ends of its links.
+
+use serde::{Deserialize, Serialize};
+use std::fmt::{self, Display};
+
+/// A kind of process or stand-in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// All clients, and the load balancer before the gateways.
+    Clients,
+    /// Processes of the gateway.
+    Gateways,
+    /// Stand-ins of pay servers.
+    PayServers,
+    /// Processes of the discovery service, or the stand-in of the platform's.
+    ListService,
+    /// Processes of the coordination service.
+    Coordinators,
+    /// The stand-in of the shared counter.
+    Counter,
+    /// Stand-ins of processes that compete for locks.
+    Candidates,
+    /// Processes of the controller.
+    Stewards,
+    /// Stand-ins of the stores of cells, which serve the controller's calls.
+    Cells,
+}
+
+impl Kind {
+    /// All kinds.
+    pub const ALL: [Kind; 9] = [
+        Kind::Clients,
+        Kind::Gateways,
+        Kind::PayServers,
+        Kind::ListService,
+        Kind::Coordinators,
+        Kind::Counter,
+        Kind::Candidates,
+        Kind::Stewards,
+        Kind::Cells,
+    ];
+
+    /// Returns the kind's name in files.
+    pub fn name(self) -> &'static str {
+        match self {
+            Kind::Clients => "clients",
+            Kind::Gateways => "gateways",
+            Kind::PayServers => "pay_servers",
+            Kind::ListService => "list_service",
+            Kind::Coordinators => "coordinators",
+            Kind::Counter => "counter",
+            Kind::Candidates => "candidates",
+            Kind::Stewards => "stewards",
+            Kind::Cells => "cells",
+        }
+    }
+}
+
+/// One end of a link: a process or a stand-in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum End {
+    /// All clients, and the load balancer before the gateways.
+    Clients,
+    /// A gateway, by its number.
+    Gateway(u16),
+    /// A pay server, by its number.
+    PayServer(u16),
+    /// A process of the discovery service, by its number.
+    ListService(u16),
+    /// The counter.
+    Counter,
+    /// A process of the coordination service, by its number.
+    Coordinator(u16),
+    /// A candidate for locks, or a client of values, by its number.
+    Candidate(u16),
+    /// A process of the controller, by its number.
+    Steward(u16),
+    /// The store of a cell, by its number.
+    Cell(u16),
+}
+
+impl End {
+    /// Returns its kind.
+    pub fn kind(self) -> Kind {
+        match self {
+            End::Clients => Kind::Clients,
+            End::Gateway(_) => Kind::Gateways,
+            End::PayServer(_) => Kind::PayServers,
+            End::ListService(_) => Kind::ListService,
+            End::Counter => Kind::Counter,
+            End::Coordinator(_) => Kind::Coordinators,
+            End::Candidate(_) => Kind::Candidates,
+            End::Steward(_) => Kind::Stewards,
+            End::Cell(_) => Kind::Cells,
+        }
+    }
+
+    /// Returns a member of a kind by its number; `None` where the number is out of range.
+    pub(crate) fn of(kind: Kind, index: u32) -> Option<End> {
+        let index = u16::try_from(index).ok()?;
+        Some(match kind {
+            Kind::Clients => End::Clients,
+            Kind::Gateways => End::Gateway(index),
+            Kind::PayServers => End::PayServer(index),
+            Kind::ListService => End::ListService(index),
+            Kind::Counter => End::Counter,
+            Kind::Coordinators => End::Coordinator(index),
+            Kind::Candidates => End::Candidate(index),
+            Kind::Stewards => End::Steward(index),
+            Kind::Cells => End::Cell(index),
+        })
+    }
+}
+
+impl Display for End {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            End::Clients | End::Counter => f.write_str(self.kind().name()),
+            End::Gateway(i)
+            | End::PayServer(i)
+            | End::ListService(i)
+            | End::Coordinator(i)
+            | End::Candidate(i)
+            | End::Steward(i)
+            | End::Cell(i) => {
+                write!(f, "{}[{i}]", self.kind().name())
+            }
+        }
+    }
+}
--- a/testing/fault-injection/src/figures.rs
+++ b/testing/fault-injection/src/figures.rs
@@ -1,9 +1,10 @@
 //! What a run comes to in figures: goodput, latencies, calls, losses; from its history alone.
 
+use crate::checker::Finding;
 use crate::decided::Told;
-use crate::deployment::{End, Nanos, MS, SECOND, UNSAFE};
+use crate::deployment::{Nanos, MS, SECOND, UNSAFE};
+use crate::endpoint::End;
 use crate::history::{At, Event, Outcome, Setup, Trace};
-use crate::judge::Finding;
 use crate::scenario::FaultKind;
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
--- a/testing/fault-injection/src/follow.rs
+++ b/testing/fault-injection/src/follow.rs
@@ -2,6 +2,7 @@
 //!
 //! Gateways tell of single requests only where their configuration has `log = { form = "json", requests = true }`.
 
+use crate::error::RecordingError;
 use crate::history::{Event, Reader, Trace};
 use crate::shell::run::HISTORY;
 use serde_json::Value;
@@ -14,16 +15,19 @@
 /// Fields of a line that are told elsewhere, or always the same.
 const PLAIN: [&str; 5] = ["timestamp", "level", "message", "target", "trace"];
 
-/// Everything of an id, in order; the error says what cannot be read.
-pub fn follow(dir: &Path, id: &str) -> Result<Vec<String>, String> {
-    let trace =
-        Trace::from_str_radix(id, 16).map_err(|_| format!("{id:?} is no id of up to 16 hex digits"))?;
-    let mut lines = seen(&dir.join(HISTORY), trace)?;
+/// Returns the lines on a request, in the order of their times.
+///
+/// # Errors
+///
+/// The id is none, or the history or a log cannot be read.
+pub fn follow(dir: &Path, id: &str) -> Result<Vec<String>, RecordingError> {
+    let trace = Trace::from_str_radix(id, 16).map_err(|_| RecordingError::TraceId(id.to_owned()))?;
+    let mut lines = events_of(&dir.join(HISTORY), trace)?;
     let logs = dir.join("logs");
-    for entry in fs::read_dir(&logs).map_err(|e| format!("{}: {e}", logs.display()))?.flatten() {
+    for entry in fs::read_dir(&logs).map_err(|error| RecordingError::File(logs.clone(), error))?.flatten() {
         let who =
             entry.path().file_stem().map_or_else(String::new, |stem| stem.to_string_lossy().into_owned());
-        let file = File::open(entry.path()).map_err(|e| format!("{}: {e}", entry.path().display()))?;
+        let file = File::open(entry.path()).map_err(|error| RecordingError::File(entry.path(), error))?;
         let told = BufReader::new(file).lines().map_while(Result::ok).filter_map(|line| told(&line, trace));
         lines.extend(told.map(|(at, what)| (at, who.clone(), what)));
     }
@@ -35,8 +39,8 @@
 
 type Line = (SystemTime, String, String);
 
-/// What the lab saw.
-fn seen(path: &Path, trace: Trace) -> Result<Vec<Line>, String> {
+/// The lines on what the harness recorded.
+fn events_of(path: &Path, trace: Trace) -> Result<Vec<Line>, RecordingError> {
     let (mut origin, mut lines, mut attempts) = (UNIX_EPOCH, Vec::new(), HashSet::new());
     Reader::open(path)?
         .each(|at| {
@@ -71,7 +75,7 @@
                 _ => {}
             }
         })
-        .map_err(|e| format!("{}: {e}", path.display()))?;
+        .map_err(|damage| RecordingError::Damaged(path.to_owned(), damage))?;
     let placed = lines.into_iter().map(|(at, who, what)| (origin + Duration::from_nanos(at), who, what));
     Ok(placed.collect())
 }
--- a/testing/fault-injection/src/history.rs
+++ b/testing/fault-injection/src/history.rs
@@ -3,7 +3,9 @@
 //! The format is in `docs/fault-injection.md`. A file begins with [`MAGIC`] and the version; frames follow, each its length, the
 //! CRC-32 of its payload, and the payload: events in `postcard`. A reader never trusts a length beyond [`FRAME_MOST`].
 
-use crate::deployment::{Drawn, End, Nanos, Quota};
+use crate::deployment::{Drawn, Nanos, Quota};
+use crate::endpoint::End;
+use crate::error::RecordingError;
 use serde::{Deserialize, Serialize};
 use std::fs::File;
 use std::io::{self, BufReader, Read, Write};
@@ -427,9 +429,15 @@
 }
 
 impl Reader<BufReader<File>> {
-    pub fn open(path: &Path) -> Result<Self, String> {
-        let file = File::open(path).map_err(|e| format!("{}: {e}", path.display()))?;
-        Reader::new(BufReader::with_capacity(1 << 20, file)).map_err(|e| format!("{}: {e}", path.display()))
+    /// Opens a history.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be read, or does not begin like a history.
+    pub fn open(path: &Path) -> Result<Self, RecordingError> {
+        let file = File::open(path).map_err(|error| RecordingError::File(path.to_owned(), error))?;
+        let reader = Reader::new(BufReader::with_capacity(1 << 20, file));
+        reader.map_err(|damage| RecordingError::Damaged(path.to_owned(), damage))
     }
 }
 
--- a/testing/fault-injection/src/lib.rs
+++ b/testing/fault-injection/src/lib.rs
@@ -1,21 +1,23 @@
 //! A fleet on one machine: many processes of the program, faults between them, a history of what every side saw, and a
 //! verdict. `docs/fault-injection.md` says how it is used and what it leaves out.
 //!
-//! - [`scenario`], [`draw`], [`deployment`]: what is asked for, and what a seed makes of it.
+//! - [`scenario`], [`draw`], [`deployment`], [`endpoint`]: what is asked for, and what a seed makes of it.
 //! - [`stand`], [`link`]: the rules of the stand-ins and of the links, without I/O.
 //! - [`shell`]: all of that on sockets, and the processes.
-//! - [`history`], [`judge`], [`figures`], [`verdict`], [`follow`]: what happened, on disk, and what it comes to.
+//! - [`history`], [`checker`], [`figures`], [`verdict`], [`follow`]: what happened, on disk, and what it comes to.
 //! - [`report`], [`compare`]: the same for people.
 #![deny(unsafe_code)]
 
+pub mod checker;
 pub mod compare;
 pub mod decided;
 pub mod deployment;
 pub mod draw;
+pub mod endpoint;
+pub mod error;
 pub mod figures;
 pub mod follow;
 pub mod history;
-pub mod judge;
 pub mod linear;
 pub mod link;
 pub mod report;
--- a/testing/fault-injection/src/link.rs
+++ b/testing/fault-injection/src/link.rs
@@ -1,6 +1,7 @@
 //! What faults do to what lies between two ends: the rules in force, without I/O.
 
-use crate::deployment::{Drawn, End, Nanos, MS};
+use crate::deployment::{Drawn, Nanos, MS};
+use crate::endpoint::End;
 use crate::scenario::FaultKind;
 use rand::Rng;
 use std::collections::BTreeSet;
--- a/testing/fault-injection/src/main.rs
+++ b/testing/fault-injection/src/main.rs
@@ -2,14 +2,18 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand};
+use marblecroft_fault_injection::draw::SiteFileError;
+use marblecroft_fault_injection::error::{RecordingError, RunError};
 use marblecroft_fault_injection::follow::follow;
-use marblecroft_fault_injection::scenario::Scenario;
+use marblecroft_fault_injection::scenario::{Scenario, ScenarioError};
 use marblecroft_fault_injection::shell::process::become_held;
-use marblecroft_fault_injection::shell::run::{run, usual_dir, Failure, Order, SUMMARY};
+use marblecroft_fault_injection::shell::run::{run, usual_dir, RunSpec, SUMMARY};
 use marblecroft_fault_injection::verdict::{judge, Verdict};
 use marblecroft_fault_injection::{compare, draw, report};
+use quick_error::quick_error;
 use std::ffi::OsString;
 use std::fs;
+use std::io;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -66,33 +70,92 @@
     Compare { one: PathBuf, other: PathBuf },
 }
 
-/// Every invariant holds; one is broken; the call or the scenario cannot be used; the lab failed.
-const HOLDS: u8 = 0;
-const BROKEN: u8 = 1;
-const UNUSABLE: u8 = 2;
-const FAILED: u8 = 3;
+/// Exit codes: every invariant holds; one is broken; the call or the scenario cannot be used; the harness failed.
+const EXIT_HOLDS: u8 = 0;
+const EXIT_BROKEN: u8 = 1;
+const EXIT_UNUSABLE: u8 = 2;
+const EXIT_FAILED: u8 = 3;
 
 const DEMO: &str = include_str!("../scenarios/demo.toml");
 
-fn main() -> ExitCode {
-    ExitCode::from(match call(Args::parse().call) {
-        Ok(code) => code,
-        Err(Failure::Unusable(e)) => said(UNUSABLE, &e),
-        Err(Failure::Lab(e)) => said(FAILED, &e),
-    })
+quick_error! {
+    /// Why the program ends with an error.
+    #[derive(Debug)]
+    enum CommandError {
+        /// The scenario cannot be used.
+        Scenario(name: String, error: ScenarioError) {
+            display("{}: {}", name, error)
+            source(error)
+        }
+        /// The site file cannot be used.
+        SiteFile(path: PathBuf, error: SiteFileError) {
+            display("{}: {}", path.display(), error)
+            source(error)
+        }
+        /// A file that was named cannot be read.
+        Input(path: PathBuf, error: io::Error) {
+            display("{}: {}", path.display(), error)
+            source(error)
+        }
+        /// A recorded run that was named cannot be read.
+        Recording(error: RecordingError) {
+            display("{}", error)
+            source(error)
+            from()
+        }
+        /// The run failed.
+        Run(error: RunError) {
+            display("{}", error)
+            source(error)
+            from()
+        }
+        /// The run that was just recorded cannot be judged or shown.
+        Verdict(error: RecordingError) {
+            display("{}", error)
+            source(error)
+        }
+        /// A file of the run cannot be written.
+        Output(path: PathBuf, error: io::Error) {
+            display("{}: {}", path.display(), error)
+            source(error)
+        }
+        /// The summary cannot be encoded.
+        Summary(error: serde_json::Error) {
+            display("{}", error)
+            source(error)
+            from()
+        }
+    }
+}
+
+impl CommandError {
+    fn exit_code(&self) -> u8 {
+        match self {
+            CommandError::Scenario(..)
+            | CommandError::SiteFile(..)
+            | CommandError::Input(..)
+            | CommandError::Recording(_)
+            | CommandError::Run(RunError::Scenario(_)) => EXIT_UNUSABLE,
+            CommandError::Run(_)
+            | CommandError::Verdict(_)
+            | CommandError::Output(..)
+            | CommandError::Summary(_) => EXIT_FAILED,
+        }
+    }
 }
 
-fn said(code: u8, e: &str) -> u8 {
-    eprintln!("marblecroft-fault-injection: {}", e.replace('\n', " "));
-    code
+fn main() -> ExitCode {
+    ExitCode::from(call(Args::parse().call).unwrap_or_else(|error| {
+        eprintln!("marblecroft-fault-injection: {}", error.to_string().replace('\n', " "));
+        error.exit_code()
+    }))
 }
 
-fn call(call: Call) -> Result<u8, Failure> {
+fn call(call: Call) -> Result<u8, CommandError> {
     match call {
         Call::Demo { seed, out } => {
             let code = play("demo", DEMO.to_owned(), seed, out.clone(), false)?;
-            let dir = out.unwrap_or_else(|| usual_dir("demo", seed));
-            write_report(&dir)?;
+            write_report(&out.unwrap_or_else(|| usual_dir("demo", seed)))?;
             Ok(code)
         }
         Call::Run { file, seed, out, json } => {
@@ -101,75 +164,73 @@
         }
         Call::Draw { site, seed } => {
             let drawn = draw::draw(&read(&site)?, seed);
-            let drawn = drawn.map_err(|e| Failure::Unusable(format!("{}: {e}", site.display())))?;
-            print!("{drawn}");
-            Ok(HOLDS)
+            print!("{}", drawn.map_err(|error| CommandError::SiteFile(site, error))?);
+            Ok(EXIT_HOLDS)
         }
         Call::Check { dir, trace: Some(trace), .. } => {
-            for line in follow(&dir, &trace).map_err(Failure::Unusable)? {
-                println!("{line}");
-            }
-            Ok(HOLDS)
+            follow(&dir, &trace)?.iter().for_each(|line| println!("{line}"));
+            Ok(EXIT_HOLDS)
         }
         Call::Check { dir, json, trace: None } => {
-            let (verdict, _) = judge(&dir).map_err(Failure::Unusable)?;
-            Ok(tell(&verdict, json))
+            let (verdict, _) = judge(&dir)?;
+            Ok(print_verdict(&verdict, json))
         }
         Call::Report { dir } => {
             write_report(&dir)?;
-            Ok(HOLDS)
+            Ok(EXIT_HOLDS)
         }
         Call::Hold { parent, program, args } => {
-            let e = become_held(parent, &program, &args);
-            Err(Failure::Lab(format!("{}: {e}", program.to_string_lossy())))
+            let error = become_held(parent, &program, &args);
+            Err(CommandError::Output(PathBuf::from(program), error))
         }
         Call::Compare { one, other } => {
-            print!("{}", compare::compare(&one, &other).map_err(Failure::Unusable)?);
-            Ok(HOLDS)
+            print!("{}", compare::compare(&one, &other)?);
+            Ok(EXIT_HOLDS)
         }
     }
 }
 
-fn read(path: &Path) -> Result<String, Failure> {
-    fs::read_to_string(path).map_err(|e| Failure::Unusable(format!("{}: {e}", path.display())))
+fn read(path: &Path) -> Result<String, CommandError> {
+    fs::read_to_string(path).map_err(|error| CommandError::Input(path.to_owned(), error))
 }
 
-fn play(name: &str, text: String, seed: u64, out: Option<PathBuf>, json: bool) -> Result<u8, Failure> {
+fn play(name: &str, text: String, seed: u64, out: Option<PathBuf>, json: bool) -> Result<u8, CommandError> {
     // Before anything is made: a scenario that cannot be used leaves nothing behind.
-    Scenario::parse(&text).map_err(|e| Failure::Unusable(format!("{name}: {e}")))?;
+    Scenario::parse(&text).map_err(|error| CommandError::Scenario(name.to_owned(), error))?;
     let dir = out.unwrap_or_else(|| usual_dir(name, seed));
-    let lab = |e: std::io::Error| Failure::Lab(format!("{}: {e}", dir.display()));
-    fs::create_dir_all(&dir).map_err(lab)?;
+    let failed = |error| CommandError::Output(dir.clone(), error);
+    fs::create_dir_all(&dir).map_err(failed)?;
     // Processes are started from folders of their own.
-    let dir = dir.canonicalize().map_err(lab)?;
-    let log = fs::File::create(dir.join("lab.log")).map_err(lab)?;
+    let dir = dir.canonicalize().map_err(failed)?;
+    let log = fs::File::create(dir.join("lab.log")).map_err(failed)?;
     tracing_subscriber::fmt().json().with_writer(log).init();
-    let lab = std::env::current_exe().map_err(lab)?;
-    run(&Order { name: name.to_owned(), text, seed, dir: dir.clone(), lab })?;
-    let (verdict, _) = judge(&dir).map_err(Failure::Lab)?;
-    let summary = serde_json::to_vec_pretty(&verdict.summary).map_err(|e| Failure::Lab(e.to_string()))?;
-    fs::write(dir.join(SUMMARY), summary).map_err(|e| Failure::Lab(format!("{SUMMARY}: {e}")))?;
+    let harness = std::env::current_exe().map_err(failed)?;
+    run(&RunSpec { name: name.to_owned(), text, seed, dir: dir.clone(), harness })?;
+    let (verdict, _) = judge(&dir).map_err(CommandError::Verdict)?;
+    let path = dir.join(SUMMARY);
+    fs::write(&path, serde_json::to_vec_pretty(&verdict.summary)?)
+        .map_err(|error| CommandError::Output(path, error))?;
     println!("{}", dir.display());
-    Ok(tell(&verdict, json))
+    Ok(print_verdict(&verdict, json))
 }
 
-fn tell(verdict: &Verdict, json: bool) -> u8 {
+fn print_verdict(verdict: &Verdict, json: bool) -> u8 {
     verdict.lines().iter().for_each(|line| println!("{line}"));
     if json {
         println!("{}", serde_json::json!(verdict.summary));
     }
     if verdict.holds() {
-        HOLDS
+        EXIT_HOLDS
     } else {
-        BROKEN
+        EXIT_BROKEN
     }
 }
 
-fn write_report(dir: &Path) -> Result<(), Failure> {
-    let (verdict, figures) = judge(dir).map_err(Failure::Unusable)?;
-    let page = report::page(&verdict, &figures).map_err(Failure::Lab)?;
+fn write_report(dir: &Path) -> Result<(), CommandError> {
+    let (verdict, figures) = judge(dir)?;
+    let page = report::page(&verdict, &figures).map_err(CommandError::Verdict)?;
     let path = dir.join("report.html");
-    fs::write(&path, page).map_err(|e| Failure::Lab(format!("{}: {e}", path.display())))?;
+    fs::write(&path, page).map_err(|error| CommandError::Output(path.clone(), error))?;
     println!("{}", path.display());
     Ok(())
 }
--- a/testing/fault-injection/src/report.rs
+++ b/testing/fault-injection/src/report.rs
@@ -1,6 +1,7 @@
 //! A run as one page: plots as inline SVG, the faults marked, a table of the invariants; readable on its own.
 
 use crate::deployment::{Drawn, SECOND};
+use crate::error::{IncompleteHistory, RecordingError};
 use crate::figures::{Figures, Second, CALLS};
 use crate::verdict::Verdict;
 use plotters::prelude::*;
@@ -26,9 +27,14 @@
     points: Vec<(f64, f64)>,
 }
 
-/// The page; the error is the drawing library's.
-pub fn page(verdict: &Verdict, figures: &Figures) -> Result<String, String> {
-    let setup = figures.setup().ok_or("the history has no setup")?;
+/// Returns the page of a run, as one HTML file.
+///
+/// # Errors
+///
+/// A plot cannot be drawn.
+pub fn page(verdict: &Verdict, figures: &Figures) -> Result<String, RecordingError> {
+    let no_setup = || RecordingError::Plot(IncompleteHistory::NoSetup.to_string());
+    let setup = figures.setup().ok_or_else(no_setup)?;
     let length = setup.duration / SECOND;
     let seconds = &figures.seconds()[..figures.seconds().len().min(length as usize)];
     let of = |name: &str, value: &dyn Fn(&Second) -> Option<f64>| Line {
@@ -170,8 +176,8 @@
     length: f64,
     lines: &[Line],
     marks: &[(u16, f64, Option<f64>)],
-) -> Result<String, String> {
-    let failed = |e: &dyn std::fmt::Display| format!("a plot: {e}");
+) -> Result<String, RecordingError> {
+    let failed = |error: &dyn std::fmt::Display| RecordingError::Plot(error.to_string());
     let top = lines.iter().flat_map(|line| &line.points).map(|(_, y)| *y).fold(1.0, f64::max) * 1.1;
     let mut svg = String::new();
     {
--- a/testing/fault-injection/src/scenario/in_common.rs
+++ b/testing/fault-injection/src/scenario/in_common.rs
@@ -1,6 +1,7 @@
 //! What a scenario says of shares and books.
 
-use super::{within, Scenario};
+use super::validation::within;
+use super::{Scenario, ScenarioError};
 use serde::{Deserialize, Serialize};
 
 /// Firms whose shares of the fleet's capacity are decided in common, in place of the site's plans and customers.
@@ -9,7 +10,7 @@
 pub struct Tenants {
     /// Customers with demand.
     pub firms: u32,
-    /// In turn.
+    /// The firms' weights, in turn.
     pub weights: Vec<f64>,
     /// So many ask five times their part, and again at once when refused.
     pub greedy: u32,
@@ -30,6 +31,7 @@
 pub struct Books {
     /// Ranges at the begin.
     pub count: u32,
+    /// Operators' moves.
     #[serde(rename = "move", skip_serializing_if = "Vec::is_empty")]
     pub moves: Vec<BookMove>,
 }
@@ -44,15 +46,18 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct BookMove {
+    /// After the load's begin, in milliseconds.
     pub at_ms: u64,
+    /// The book.
     pub book: u32,
+    /// The cell.
     pub to_cell: u32,
 }
 
-const FIRMS_MOST: u32 = 20_000;
-const WEIGHTS_MOST: usize = 16;
-const BOOKS_MOST: u32 = 1024;
-const MOVES_MOST: usize = 256;
+const MAX_FIRMS: u32 = 20_000;
+const MAX_WEIGHTS: usize = 16;
+const MAX_BOOKS: u32 = 1024;
+const MAX_MOVES: usize = 256;
 
 impl Scenario {
     /// The cell of a pay server, by its number: dealt out in turn, each cell within one zone. By fours where cells mean nothing.
@@ -76,20 +81,23 @@
         cell as usize % self.fleet.zones.len()
     }
 
-    pub(super) fn validate_in_common(&self) -> Result<(), String> {
+    pub(super) fn validate_in_common(&self) -> Result<(), ScenarioError> {
         let fleet = &self.fleet;
         within("fleet.cells", fleet.cells, 0, fleet.pay_servers)?;
         if fleet.cells > 0 && fleet.cells < fleet.zones.len() as u32 {
-            return Err("fleet.cells: one for each zone at least".to_owned());
+            return Err(ScenarioError::invalid("fleet.cells", "one for each zone at least"));
         }
         if let Some(tenants) = &self.tenants {
             if fleet.stewards == 0 {
-                return Err("tenants: shares are decided by stewards, and there are none".to_owned());
+                return Err(ScenarioError::invalid(
+                    "tenants",
+                    "shares are decided by stewards, and there are none",
+                ));
             }
-            within("tenants.firms", tenants.firms, 1, FIRMS_MOST)?;
+            within("tenants.firms", tenants.firms, 1, MAX_FIRMS)?;
             within("tenants.greedy", tenants.greedy, 0, tenants.firms)?;
-            if tenants.weights.is_empty() || tenants.weights.len() > WEIGHTS_MOST {
-                return Err(format!("tenants.weights: 1 to {WEIGHTS_MOST} weights"));
+            if tenants.weights.is_empty() || tenants.weights.len() > MAX_WEIGHTS {
+                return Err(ScenarioError::invalid("tenants.weights", format!("1 to {MAX_WEIGHTS} weights")));
             }
             for (i, weight) in tenants.weights.iter().enumerate() {
                 within(&format!("tenants.weights[{i}]"), *weight, 0.01, 1e6)?;
@@ -98,11 +106,11 @@
         }
         if let Some(books) = &self.books {
             if fleet.stewards == 0 || fleet.cells == 0 {
-                return Err("books: they need stewards, and fleet.cells".to_owned());
+                return Err(ScenarioError::invalid("books", "they need stewards, and fleet.cells"));
             }
-            within("books.count", books.count, 1, BOOKS_MOST)?;
-            if books.moves.len() > MOVES_MOST {
-                return Err(format!("books.move: {MOVES_MOST} at the most"));
+            within("books.count", books.count, 1, MAX_BOOKS)?;
+            if books.moves.len() > MAX_MOVES {
+                return Err(ScenarioError::invalid("books.move", format!("{MAX_MOVES} at the most")));
             }
             for (i, moved) in books.moves.iter().enumerate() {
                 within(&format!("books.move[{i}].at_ms"), moved.at_ms, 0, self.load.duration_ms)?;
--- /dev/null
+++ b/testing/fault-injection/src/scenario/mod.rs
@@ -0,0 +1,73 @@
+//! A scenario: a fleet, its load, its faults, and what is expected of it, in one TOML file.
+//!
+//! Unknown keys are rejected, and every error is one line that names the field. What the file leaves out has the default of
+//! its type here. [`crate::deployment`] draws from a scenario and a seed.
+
+mod coordination;
+mod error;
+mod expect;
+mod fault;
+mod fleet;
+pub mod in_common;
+mod load;
+mod site;
+mod target;
+mod topology;
+mod validation;
+
+pub use coordination::{Owners, Registers};
+pub use error::{ScenarioError, TargetError};
+pub use expect::Expect;
+pub use fault::{Fault, FaultKind};
+pub use fleet::Fleet;
+pub use load::Load;
+pub use site::{Plan, Site};
+pub use target::{Target, LEADER, ROLES};
+pub use validation::{MAX_GATEWAYS, MAX_PAY_SERVERS};
+
+use in_common::{Books, Tenants};
+use serde::{Deserialize, Serialize};
+
+/// A scenario, as its file has it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Scenario {
+    /// The processes and the stand-ins.
+    pub fleet: Fleet,
+    /// The clients' requests.
+    pub load: Load,
+    /// The stand-ins' behaviour.
+    pub site: Site,
+    /// Candidates for locks of the coordination service.
+    pub owners: Owners,
+    /// Clients of the coordination service's values.
+    pub registers: Registers,
+    /// The faults, in the order of the file.
+    #[serde(rename = "fault", skip_serializing_if = "Vec::is_empty")]
+    pub faults: Vec<Fault>,
+    /// Firms with fair shares; without it the site's plans apply.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub tenants: Option<Tenants>,
+    /// Ranges of firms that move between cells.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub books: Option<Books>,
+    /// What is expected beyond the invariants.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub expect: Option<Expect>,
+}
+
+impl Scenario {
+    /// Reads and checks a file's text.
+    ///
+    /// # Errors
+    ///
+    /// See [`ScenarioError`].
+    pub fn parse(text: &str) -> Result<Scenario, ScenarioError> {
+        let scenario: Scenario = toml::from_str(text).map_err(|error| {
+            let line = error.span().map_or(1, |span| text[..span.start].matches('\n').count() + 1);
+            ScenarioError::Syntax(line, error.message().replace('\n', " "))
+        })?;
+        scenario.validate()?;
+        Ok(scenario)
+    }
+}
--- /dev/null
+++ b/testing/fault-injection/src/scenario/topology.rs
@@ -0,0 +1,87 @@
+//! Where the processes and stand-ins of a scenario are.
+
+use super::{Scenario, Target};
+use crate::endpoint::{End, Kind};
+
+impl Scenario {
+    /// Returns the number of processes that clients call: the gateways, or the pay servers where there are none.
+    pub fn entries(&self) -> u32 {
+        match self.fleet.gateways {
+            0 => self.fleet.pay_servers,
+            gateways => gateways,
+        }
+    }
+
+    /// Returns the number of a kind.
+    pub fn count(&self, kind: Kind) -> u32 {
+        match kind {
+            Kind::Clients => 1,
+            Kind::Gateways => self.fleet.gateways,
+            Kind::PayServers => self.fleet.pay_servers,
+            Kind::ListService => self.fleet.list_service.max(1),
+            Kind::Coordinators => self.fleet.coordinators,
+            Kind::Counter => u32::from(self.fleet.counter),
+            Kind::Stewards => self.fleet.stewards,
+            Kind::Cells => self.fleet.cells,
+            Kind::Candidates => {
+                if self.fleet.coordinators > 0 {
+                    // Whoever keeps registers comes after those that want locks.
+                    self.owners.candidates + self.registers.clients + self.registers.watchers
+                } else {
+                    0
+                }
+            }
+        }
+    }
+
+    /// Returns all zones, with the witness as the last.
+    pub fn all_zones(&self) -> Vec<&str> {
+        self.fleet.zones.iter().chain(&self.fleet.witness).map(String::as_str).collect()
+    }
+
+    /// Returns the region of a zone; a witness is one of its own.
+    pub fn region(&self, zone: &str) -> String {
+        let named = self.fleet.regions.iter().find(|(_, zones)| zones.iter().any(|other| other == zone));
+        match named {
+            Some((region, _)) => region.clone(),
+            None if self.fleet.witness.as_deref() == Some(zone) => format!("witness {zone}"),
+            None => String::new(),
+        }
+    }
+
+    /// Returns the zone, by its number among all, of a process or a stand-in; `None` for those outside of all zones.
+    pub fn place(&self, end: End) -> Option<usize> {
+        let zones = self.fleet.zones.len();
+        match end {
+            End::Gateway(i) | End::PayServer(i) | End::Cell(i) => Some(usize::from(i) % zones),
+            End::Coordinator(i) | End::Steward(i) => self.spread_over_zones(usize::from(i)),
+            End::ListService(i) if self.fleet.list_service > 0 => self.spread_over_zones(usize::from(i)),
+            End::Clients | End::Counter | End::Candidate(_) | End::ListService(_) => None,
+        }
+    }
+
+    /// The zone of the first, second, ... of the processes that are spread over the regions in turn, and in each over its zones.
+    fn spread_over_zones(&self, number: usize) -> Option<usize> {
+        let all = self.all_zones();
+        let mut regions: Vec<(String, Vec<usize>)> = Vec::new();
+        for (zone, name) in all.iter().enumerate() {
+            let region = self.region(name);
+            match regions.iter_mut().find(|(other, _)| *other == region) {
+                Some((_, zones)) => zones.push(zone),
+                None => regions.push((region, vec![zone])),
+            }
+        }
+        let (_, zones) = regions.get(number % regions.len().max(1))?;
+        zones.get(number / regions.len() % zones.len()).copied()
+    }
+
+    /// Whether a zone is what a target names, or in it.
+    pub fn stands_in(&self, zone: usize, target: &Target) -> bool {
+        let Some(name) = self.all_zones().get(zone).copied() else { return false };
+        match target {
+            Target::Zone(wanted) => name == wanted,
+            Target::Region(wanted) => self.region(name) == *wanted,
+            _ => false,
+        }
+    }
+}
--- a/testing/fault-injection/src/shell.rs
+++ b/testing/fault-injection/src/shell.rs
@@ -12,7 +12,9 @@
 pub mod relay;
 pub mod run;
 
-use crate::deployment::{Deployment, End, Nanos, Stream};
+use crate::deployment::{Deployment, Nanos, Stream};
+use crate::endpoint::End;
+use crate::error::RunError;
 use crate::history::{At, Event, Trace, Writer};
 use crate::link::{Path, Rules};
 use crate::scenario::Scenario;
@@ -33,7 +35,7 @@
     origin: Instant,
     history: RefCell<Writer<File>>,
     /// The first failure to write the history: the run is worth nothing then.
-    broken: RefCell<Option<String>>,
+    broken: RefCell<Option<std::io::Error>>,
     rules: RefCell<Rules>,
     pub rules_changed: Notify,
     pub chance: RefCell<ChaCha8Rng>,
@@ -74,18 +76,19 @@
     pub fn record(&self, event: Event) {
         let at = At { at: self.now(), event };
         if let Err(e) = self.history.borrow_mut().add(&at) {
-            self.broken.borrow_mut().get_or_insert_with(|| format!("the history cannot be written: {e}"));
+            self.broken.borrow_mut().get_or_insert(e);
         }
     }
 
-    /// All that was recorded is on its way to the disk.
-    pub fn flush(&self) -> Result<(), String> {
+    /// Passes all that was recorded to the operating system.
+    ///
+    /// # Errors
+    ///
+    /// The history cannot be written, now or earlier.
+    pub fn flush(&self) -> Result<(), RunError> {
         let flushed = self.history.borrow_mut().flush();
-        match (self.broken.borrow().clone(), flushed) {
-            (Some(e), _) => Err(e),
-            (None, Err(e)) => Err(format!("the history cannot be written: {e}")),
-            (None, Ok(())) => Ok(()),
-        }
+        let earlier = self.broken.borrow_mut().take();
+        earlier.map_or(flushed, Err).map_err(RunError::History)
     }
 
     /// A number that nothing else in this run has.
--- a/testing/fault-injection/src/shell/address.rs
+++ b/testing/fault-injection/src/shell/address.rs
@@ -4,7 +4,7 @@
 //! knows every stand-in by an address of its own (its view), on the stand-in's port. One listener for each stand-in, on all
 //! addresses of the loopback device alone, hears them all, and the accepted socket's own address names the caller.
 
-use crate::deployment::End;
+use crate::endpoint::End;
 use socket2::{Domain, Protocol, SockAddr, SockFilter, SockRef, Socket, Type};
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
--- a/testing/fault-injection/src/shell/cells.rs
+++ b/testing/fault-injection/src/shell/cells.rs
@@ -1,6 +1,7 @@
 //! Cells on sockets: stewards ask them, their pay servers write there.
 
-use crate::deployment::{End, UNSAFE};
+use crate::deployment::UNSAFE;
+use crate::endpoint::End;
 use crate::history::{Event, Trace};
 use crate::shell::lists::Door;
 use crate::shell::World;
--- a/testing/fault-injection/src/shell/clients.rs
+++ b/testing/fault-injection/src/shell/clients.rs
@@ -1,6 +1,7 @@
 //! Clients on sockets: each try on a connection that is kept, as the front keeps them.
 
-use crate::deployment::{End, Nanos, CLASSES, MS, SAFE, SECOND};
+use crate::deployment::{Nanos, CLASSES, MS, SAFE, SECOND};
+use crate::endpoint::End;
 use crate::history::{Event, Outcome, Trace};
 use crate::shell::process::Process;
 use crate::shell::relay::{relay, Watch};
--- a/testing/fault-injection/src/shell/datagrams.rs
+++ b/testing/fault-injection/src/shell/datagrams.rs
@@ -1,7 +1,7 @@
 //! Datagrams between processes through the lab: each process knows every other one by an address of the lab's, and hears
 //! from it under that address too.
 
-use crate::deployment::End;
+use crate::endpoint::End;
 use crate::shell::World;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
--- a/testing/fault-injection/src/shell/lists.rs
+++ b/testing/fault-injection/src/shell/lists.rs
@@ -1,7 +1,8 @@
 //! Who tells the list: the stand-in of the platform's discovery, or the way to processes of the list service; and the
 //! counter. All are called by gateways at their own views.
 
-use crate::deployment::{End, MS};
+use crate::deployment::MS;
+use crate::endpoint::End;
 use crate::history::{Event, Told};
 use crate::shell::pay_servers::{plain, shut_out};
 use crate::shell::process::Process;
--- a/testing/fault-injection/src/shell/owners.rs
+++ b/testing/fault-injection/src/shell/owners.rs
@@ -3,7 +3,8 @@
 //! Models: sessions that are renewed, locks that are waited for, a check before each act, a stop between the check and its effect,
 //! effects that come late to the place that takes them. Leaves out: what the work is, and that it takes time.
 
-use crate::deployment::{chance, End, Nanos, Stream, MS, SECOND};
+use crate::deployment::{chance, Nanos, Stream, MS, SECOND};
+use crate::endpoint::End;
 use crate::history::Event;
 use crate::shell::World;
 use marblecroft_coordination::client::{Client, Lock};
--- a/testing/fault-injection/src/shell/pay_servers.rs
+++ b/testing/fault-injection/src/shell/pay_servers.rs
@@ -1,8 +1,9 @@
 //! The pay servers on sockets: HTTP/1.1 by the published page, one listener each.
 
-use crate::deployment::{spread, End, Nanos, MS, SECOND};
+use crate::deployment::{spread, Nanos, MS, SECOND};
+use crate::endpoint::{End, Kind};
 use crate::history::{Answer, Event, Trace};
-use crate::scenario::{Kind, Scenario};
+use crate::scenario::Scenario;
 use crate::shell::cells::Cells;
 use crate::shell::relay::{relay, Side, Watch};
 use crate::shell::{address, World};
--- a/testing/fault-injection/src/shell/process.rs
+++ b/testing/fault-injection/src/shell/process.rs
@@ -1,6 +1,7 @@
 //! Processes of the program: started, watched, signalled; and ended with the lab, whatever ends it.
 
-use crate::deployment::End;
+use crate::endpoint::End;
+use crate::error::RunError;
 use crate::history::{Duty, Event, Life};
 use crate::shell::World;
 use rustix::process::{kill_process, Pid, Resource, Rlimit, Signal};
@@ -95,12 +96,18 @@
         self.world.record(Event::Lived { end: self.end, life });
     }
 
-    /// Starts it, and waits until it listens; the error tells why it does not.
+    /// Starts it, and waits until it listens.
+    ///
+    /// # Errors
+    ///
+    /// It does not start, or does not listen in time.
     pub async fn start(
         self: &Rc<Self>,
         prepare: impl FnOnce(&mut Command) -> io::Result<()>,
-    ) -> Result<(), String> {
-        let failed = |e: &dyn std::fmt::Display| format!("{}: {}: {e}", self.end, self.program.display());
+    ) -> Result<(), RunError> {
+        let failed = |reason: &dyn std::fmt::Display| {
+            RunError::Start(self.end, self.program.clone(), reason.to_string())
+        };
         let mut command = Command::new(&self.holder);
         command.arg("hold").arg(std::process::id().to_string()).arg(&self.program);
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true);
@@ -282,16 +289,20 @@
     }
 }
 
-/// Raises the limit on descriptors as far as this process may; the error says what is needed.
-pub fn descriptors(needed: u64) -> Result<(), String> {
+/// Raises the limit on descriptors as far as this process may.
+///
+/// # Errors
+///
+/// The limit is too low, or cannot be raised.
+pub fn descriptors(needed: u64) -> Result<(), RunError> {
     let limit = rustix::process::getrlimit(Resource::Nofile);
     if limit.current.is_none_or(|current| current >= needed) {
         return Ok(());
     }
     if limit.maximum.is_some_and(|most| most < needed) {
-        let most = limit.maximum.unwrap_or(0);
-        return Err(format!("this fleet needs {needed} descriptors, and the limit is {most} (ulimit -Hn)"));
+        return Err(RunError::Descriptors(needed, limit.maximum.unwrap_or(0)));
     }
     let raised = Rlimit { current: limit.maximum, maximum: limit.maximum };
-    rustix::process::setrlimit(Resource::Nofile, raised).map_err(|e| format!("the limit on descriptors: {e}"))
+    let set = rustix::process::setrlimit(Resource::Nofile, raised);
+    set.map_err(|error| RunError::DescriptorLimit(error.into()))
 }
--- a/testing/fault-injection/src/shell/registers.rs
+++ b/testing/fault-injection/src/shell/registers.rs
@@ -4,7 +4,8 @@
 //! Models: readers and conditional writers that contend, an answer that is given up, watchers that resume. Leaves out: large
 //! values, values that a lock or a session owns.
 
-use crate::deployment::{chance, End, Nanos, Stream, MS};
+use crate::deployment::{chance, Nanos, Stream, MS};
+use crate::endpoint::End;
 use crate::history::{Event, Returned};
 use crate::shell::World;
 use marblecroft_coordination::client::{CallError, Client};
--- a/testing/fault-injection/src/shell/relay.rs
+++ b/testing/fault-injection/src/shell/relay.rs
@@ -3,7 +3,8 @@
 //! What is sent while the way is cut waits, as it would in a system's buffer, and so does the word that a side has closed;
 //! both arrive once the way is open again.
 
-use crate::deployment::{End, Nanos};
+use crate::deployment::Nanos;
+use crate::endpoint::End;
 use crate::shell::World;
 use bytes::{Bytes, BytesMut};
 use socket2::SockRef;
--- a/testing/fault-injection/src/shell/run/stewards.rs
+++ b/testing/fault-injection/src/shell/run/stewards.rs
@@ -1,8 +1,14 @@
 //! Stewards, and what is decided in common: their processes, what they publish, cells, operators' words on books.
 
-use super::{address, merge, place, process_behind, Lab, CALL_MOST, FLEET};
-use crate::deployment::{End, Nanos, MS};
+use super::harness::Lab;
+use super::process_config::merge;
+use super::{CALL_TIMEOUT, FLEET};
+use crate::deployment::{Nanos, MS};
+use crate::endpoint::End;
+use crate::error::RunError;
 use crate::history::{BookSeen, BookStep, Event, ZoneState};
+use crate::shell::address;
+use crate::shell::lists::{place, process_behind};
 use crate::shell::relay::Watch;
 use futures_util::future::join_all;
 use marblecroft_control_messages::frame::{decode, Fleet as FleetId};
@@ -24,7 +30,7 @@
 
 impl Lab {
     /// Starts the stewards, and listens to what is decided.
-    pub(super) async fn begin_stewards(self: &Rc<Self>) -> Result<(), String> {
+    pub(super) async fn begin_stewards(self: &Rc<Self>) -> Result<(), RunError> {
         if self.stewards.is_empty() {
             return Ok(());
         }
@@ -58,7 +64,7 @@
         Ok(())
     }
 
-    pub(super) async fn start_steward(&self, number: u16) -> Result<(), String> {
+    pub(super) async fn start_steward(&self, number: u16) -> Result<(), RunError> {
         let (end, scenario) = (End::Steward(number), &self.world.scenario);
         let (process, door) = &self.stewards[usize::from(number)];
         let folder = self.dir.join("tmp").join(end.to_string());
@@ -87,16 +93,20 @@
                 "gateways": scenario.fleet.gateways, "attempt_ms": scenario.site.deadline_ms.max(100)});
         }
         if let Some(more) = &scenario.fleet.steward_config {
-            merge(&mut config, serde_json::to_value(more).map_err(|e| format!("fleet.steward_config: {e}"))?);
+            merge(
+                &mut config,
+                serde_json::to_value(more)
+                    .map_err(|error| RunError::Configuration("fleet.steward_config", error.to_string()))?,
+            );
         }
         self.run_with(process, &folder, &config).await
     }
 
     /// The steward that owns a duty, by what it has written down.
-    pub(super) async fn duty_owner(&self, duty: &str) -> Option<End> {
+    pub(super) async fn role_owner(&self, duty: &str) -> Option<End> {
         let client = self.asking.borrow().clone()?;
         let key = Keys::of(FLEET).owner(duty);
-        let (_, values) = client.read(&key, CALL_MOST).await.ok()?;
+        let (_, values) = client.read(&key, CALL_TIMEOUT).await.ok()?;
         let (_, value, _) = values.into_iter().find(|(name, ..)| *name == key)?;
         let number = decode_value::<RoleOwner>(&value)?.candidate.strip_prefix("steward-")?.parse().ok()?;
         Some(End::Steward(number))
@@ -113,11 +123,11 @@
                 continue;
             }
             loop {
-                let read = client.read(&key, CALL_MOST).await;
+                let read = client.read(&key, CALL_TIMEOUT).await;
                 if read.is_ok_and(|(_, values)| values.iter().any(|(name, ..)| *name == key)) {
                     break;
                 }
-                tokio::time::sleep(CALL_MOST / 10).await;
+                tokio::time::sleep(CALL_TIMEOUT / 10).await;
             }
         }
     }
--- a/testing/fault-injection/src/verdict.rs
+++ b/testing/fault-injection/src/verdict.rs
@@ -1,9 +1,10 @@
 //! A recorded run, read once: what holds, and what it came to.
 
+use crate::checker::{Checker, Finding};
 use crate::decided::Decided;
+use crate::error::{IncompleteHistory, RecordingError};
 use crate::figures::{Figures, Summary};
 use crate::history::Reader;
-use crate::judge::{Finding, Judge};
 use crate::scenario::Scenario;
 use crate::shell::run::HISTORY;
 use std::collections::BTreeMap;
@@ -19,22 +20,27 @@
     pub missed: Vec<String>,
 }
 
-/// Judges the run in a folder; the error says why it cannot be judged. `figures`, filled, are for whoever draws them.
-pub fn judge(dir: &Path) -> Result<(Verdict, Figures), String> {
+/// Judges the run in a folder. `figures`, filled, are for whoever draws them.
+///
+/// # Errors
+///
+/// See [`RecordingError`].
+pub fn judge(dir: &Path) -> Result<(Verdict, Figures), RecordingError> {
     let path = dir.join(HISTORY);
-    let (mut judge, mut figures, mut decided) = (Judge::default(), Figures::new(), Decided::default());
+    let (mut judge, mut figures, mut decided) = (Checker::default(), Figures::new(), Decided::default());
     let read = Reader::open(&path)?.each(|event| {
-        judge.take(&event);
+        judge.observe(&event);
         figures.take(&event);
         decided.take(&event);
     });
-    read.map_err(|e| format!("{}: {e}", path.display()))?;
-    let mut findings = judge.findings().map_err(|e| format!("{}: {e}", path.display()))?;
+    read.map_err(|damage| RecordingError::Damaged(path.clone(), damage))?;
+    let incomplete = |error| RecordingError::Incomplete(path.clone(), error);
+    let mut findings = judge.findings().map_err(incomplete)?;
     let (of_decisions, told) = decided.findings();
     findings.extend(of_decisions);
     let text = figures.setup().map(|setup| setup.text.clone()).unwrap_or_default();
-    let summary = figures.summary(&findings, &told).ok_or("the history has no setup")?;
-    let scenario = Scenario::parse(&text).map_err(|e| format!("the history's scenario: {e}"))?;
+    let summary = figures.summary(&findings, &told).ok_or_else(|| incomplete(IncompleteHistory::NoSetup))?;
+    let scenario = Scenario::parse(&text).map_err(RecordingError::Scenario)?;
     let missed = missed(&scenario, &summary);
     Ok((Verdict { findings, summary, missed }, figures))
 }
--- a/testing/fault-injection/tests/clusters.rs
+++ b/testing/fault-injection/tests/clusters.rs
@@ -9,10 +9,11 @@
 use marblecroft_coordination::state::{Op, Owner};
 use marblecroft_coordination::storage::{LogStore, Writer as Writes};
 use marblecroft_coordination::wire::{Channel, Request, Response};
-use marblecroft_fault_injection::deployment::{Deployment, Drawn, End, MS, SECOND};
+use marblecroft_fault_injection::checker::{Checker, Finding};
+use marblecroft_fault_injection::deployment::{Deployment, Drawn, MS, SECOND};
+use marblecroft_fault_injection::endpoint::End;
 use marblecroft_fault_injection::figures::Figures;
 use marblecroft_fault_injection::history::{Event, Reader, Setup, Writer};
-use marblecroft_fault_injection::judge::{Finding, Judge};
 use marblecroft_fault_injection::scenario::{FaultKind, Scenario};
 use marblecroft_fault_injection::shell::owners::Owners;
 use marblecroft_fault_injection::shell::relay::{relay, Watch};
@@ -543,7 +544,7 @@
     drop(set);
     let history = fs::read(&path).expect("just written");
     drop(fs::remove_file(&path));
-    let (mut judge, mut answered, mut effects, mut late) = (Judge::default(), 0, 0, 0);
+    let (mut judge, mut answered, mut effects, mut late) = (Checker::default(), 0, 0, 0);
     let mut figures = Figures::new();
     let read = Reader::new(history.as_slice()).expect("a history").each(|event| {
         match &event.event {
@@ -553,7 +554,7 @@
             _ => {}
         }
         figures.take(&event);
-        judge.take(&event);
+        judge.observe(&event);
     });
     read.expect("whole");
     let findings = judge.findings().expect("complete");
--- a/testing/fault-injection/tests/datagrams.rs
+++ b/testing/fault-injection/tests/datagrams.rs
@@ -1,7 +1,8 @@
 //! Datagrams between processes pass through the lab: each hears the others under their public addresses, and a cut holds in
 //! the direction that it names.
 
-use marblecroft_fault_injection::deployment::{Deployment, Drawn, End};
+use marblecroft_fault_injection::deployment::{Deployment, Drawn};
+use marblecroft_fault_injection::endpoint::End;
 use marblecroft_fault_injection::history::Writer;
 use marblecroft_fault_injection::scenario::{FaultKind, Scenario};
 use marblecroft_fault_injection::shell::datagrams::Datagrams;
--- a/testing/fault-injection/tests/fleet.rs
+++ b/testing/fault-injection/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! The lab as people use it: the built program, real gateways, exit codes.
 
-use marblecroft_fault_injection::deployment::End;
+use marblecroft_fault_injection::endpoint::End;
 use marblecroft_fault_injection::history::{Event, Reader};
 use serde_json::Value;
 use std::fs;
@@ -78,7 +78,7 @@
     for name in ["connections", "list_calls", "probes", "renewals", "claims", "attempts"] {
         assert!(told["peaks"].get(name).is_some(), "{name}");
     }
-    let all = marblecroft_fault_injection::judge::INVARIANTS.len()
+    let all = marblecroft_fault_injection::checker::INVARIANTS.len()
         + marblecroft_fault_injection::decided::INVARIANTS.len();
     assert_eq!(told["invariants"].as_object().map(|told| told.len()), Some(all));
 
--- a/testing/fault-injection/tests/history.rs
+++ b/testing/fault-injection/tests/history.rs
@@ -1,12 +1,13 @@
 //! Histories: every invariant holds on a good one and is broken by one that is spoilt for it; damage is named by its byte.
 
+use marblecroft_fault_injection::checker::{Checker, Finding, INVARIANTS};
 use marblecroft_fault_injection::decided::{self, Decided};
-use marblecroft_fault_injection::deployment::{Drawn, End, Nanos, Quota, MS, SAFE, SECOND, UNSAFE};
+use marblecroft_fault_injection::deployment::{Drawn, Nanos, Quota, MS, SAFE, SECOND, UNSAFE};
+use marblecroft_fault_injection::endpoint::End;
 use marblecroft_fault_injection::figures::Figures;
 use marblecroft_fault_injection::history::{
     Answer, At, Duty, Event, Life, Outcome, Reader, Returned, Setup, Told, Writer, ZoneState,
 };
-use marblecroft_fault_injection::judge::{Finding, Judge, INVARIANTS};
 use marblecroft_fault_injection::scenario::FaultKind;
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -192,8 +193,8 @@
     }
 
     fn findings(self) -> BTreeMap<&'static str, Finding> {
-        let mut judge = Judge::default();
-        self.events().iter().for_each(|event| judge.take(event));
+        let mut judge = Checker::default();
+        self.events().iter().for_each(|event| judge.observe(event));
         judge.findings().expect("a whole history")
     }
 }
@@ -452,9 +453,9 @@
 
 #[test]
 fn a_history_that_ends_early_is_no_verdict() {
-    let mut judge = Judge::default();
+    let mut judge = Checker::default();
     let events = Story::good().events();
-    events[..events.len() - 1].iter().for_each(|event| judge.take(event));
+    events[..events.len() - 1].iter().for_each(|event| judge.observe(event));
     assert!(judge.findings().is_err());
 }
 
@@ -475,9 +476,9 @@
     }
     story.at(5 * SECOND, Event::FaultBegan { fault: 0 });
     story.at(6 * SECOND, Event::FaultOver { fault: 0 });
-    let (mut judge, mut figures) = (Judge::default(), Figures::new());
+    let (mut judge, mut figures) = (Checker::default(), Figures::new());
     for event in story.events() {
-        judge.take(&event);
+        judge.observe(&event);
         figures.take(&event);
     }
     let findings = judge.findings().expect("whole");
--- a/testing/fault-injection/tests/in_common.rs
+++ b/testing/fault-injection/tests/in_common.rs
@@ -1,10 +1,10 @@
 //! Shares and books: what is judged of them holds on a good history, and each invariant is broken by one that is spoilt for it; what
 //! a scenario's cells and tenants come to.
 
+use marblecroft_fault_injection::checker::Finding;
 use marblecroft_fault_injection::decided::{Decided, Told};
 use marblecroft_fault_injection::deployment::{Deployment, Nanos, Quota, MS, SAFE, SECOND, UNSAFE};
 use marblecroft_fault_injection::history::{At, BookSeen, BookStep, Event, Outcome, Setup};
-use marblecroft_fault_injection::judge::Finding;
 use marblecroft_fault_injection::scenario::Scenario;
 use std::collections::BTreeMap;
 
--- a/testing/fault-injection/tests/scenarios.rs
+++ b/testing/fault-injection/tests/scenarios.rs
@@ -1,7 +1,8 @@
 //! Scenario and site files: what they come to, and one clear line for what cannot be used.
 
-use marblecroft_fault_injection::deployment::{Deployment, End};
+use marblecroft_fault_injection::deployment::Deployment;
 use marblecroft_fault_injection::draw::draw;
+use marblecroft_fault_injection::endpoint::End;
 use marblecroft_fault_injection::scenario::Scenario;
 use marblecroft_fault_injection::stand::clients::Arrivals;
 use std::collections::BTreeMap;
@@ -53,7 +54,7 @@
         ("fleet = 3".to_owned(), "line 1"),
     ];
     for (text, field) in cases {
-        let error = Scenario::parse(&text).expect_err(&text);
+        let error = Scenario::parse(&text).expect_err(&text).to_string();
         assert!(error.contains(field) && !error.contains('\n'), "{text}\n{error}");
     }
 }
@@ -67,7 +68,7 @@
         );
         Deployment::draw(&Scenario::parse(&text).expect("each alone"), 1)
     };
-    let error = both("3999").expect_err("it stands still");
+    let error = both("3999").expect_err("it stands still").to_string();
     assert!(error.starts_with("fault[1].target") && error.contains("fault[0]"), "{error}");
     assert!(both("4000").is_ok());
     // For good is for good; links have no such state.
@@ -216,7 +217,7 @@
         ("effect = \"unsafe\"", "effect = \"keyed\"", "class"),
         ("name = \"balancer_crash\"", "name = 3", "name"),
     ] {
-        let error = draw(&SITE.replacen(from, to, 1), 1).expect_err(field);
+        let error = draw(&SITE.replacen(from, to, 1), 1).expect_err(field).to_string();
         assert!(error.contains(field) || error.contains("line"), "{error}");
         assert!(!error.contains('\n'));
     }
--- a/testing/fault-injection/tests/stand_ins.rs
+++ b/testing/fault-injection/tests/stand_ins.rs
@@ -1,9 +1,8 @@
 //! The stand-ins against the published pages, without sockets.
 
 use marblecroft_discovery::format::{Host, ListRequest, State};
-use marblecroft_fault_injection::deployment::{
-    chance, Deployment, Drawn, End, Nanos, Stream, MS, SECOND, UNSAFE,
-};
+use marblecroft_fault_injection::deployment::{chance, Deployment, Drawn, Nanos, Stream, MS, SECOND, UNSAFE};
+use marblecroft_fault_injection::endpoint::End;
 use marblecroft_fault_injection::history::{Answer, Outcome};
 use marblecroft_fault_injection::link::{Path, Rules};
 use marblecroft_fault_injection::scenario::{FaultKind, Scenario, Site};
