--- a/quota-gateway/coordination/src/storage/writer.rs
+++ b/quota-gateway/coordination/src/storage/writer.rs
@@ -153,9 +153,9 @@
         batch
     }
 
-    fn write(&self, batch: &[Write]) -> Result<(), String> {
+    fn write(&self, batch: &[Write]) -> Result<(), Arc<redb::Error>> {
         let started_at = Instant::now();
-        let written = write_batch(&self.database, batch).map_err(|error| error.to_string());
+        let written = write_batch(&self.database, batch).map_err(Arc::new);
         self.sync_times.observe(started_at.elapsed().as_secs_f64());
         let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
         counts.writes += batch.len() as u64;
@@ -165,7 +165,7 @@
 }
 
 /// Reports the result to those that wait; returns whether more may be written.
-fn acknowledge(batch: Vec<Write>, written: Result<(), String>) -> bool {
+fn acknowledge(batch: Vec<Write>, written: Result<(), Arc<redb::Error>>) -> bool {
     for write in batch {
         let result = written.clone().map_err(io::Error::other);
         match write {
--- a/testing/fault-injection/src/decided.rs
+++ b/testing/fault-injection/src/decided.rs
@@ -55,14 +55,21 @@
 /// Figures of decisions; null where they do not apply.
 #[derive(Clone, Debug, Default)]
 pub struct Told {
+    /// The share of attempts that went to a pay server of the gateway's own zone.
     pub near_share: Option<f64>,
+    /// Time from the first fault's begin to the first decision that has a zone out, in milliseconds.
     pub time_to_failover_ms: Option<u64>,
+    /// Time from the last fault's end to the first decision that has all zones serve again, in milliseconds.
     pub time_to_return_ms: Option<u64>,
+    /// Decisions under older tokens that were rejected.
     pub late_decisions_refused: Option<u64>,
+    /// Figures of the shares.
     pub shares: shares::Told,
+    /// Figures of the shards.
     pub books: books::Told,
 }
 
+/// Checks what is decided in common.
 #[derive(Default)]
 pub struct Decided {
     setup: Option<Box<Setup>>,
@@ -96,6 +103,7 @@
         self.setup.as_ref().map_or(1, |setup| setup.zones.len().max(1))
     }
 
+    /// Observes the next event.
     pub fn take(&mut self, all: &At) {
         let At { at, event } = all;
         let at = *at;
--- a/testing/fault-injection/src/deployment.rs
+++ b/testing/fault-injection/src/deployment.rs
@@ -15,22 +15,33 @@
 /// Nanoseconds, since the run's begin where it is an instant.
 pub type Nanos = u64;
 
+/// A millisecond.
 pub const MS: Nanos = 1_000_000;
+/// A second.
 pub const SECOND: Nanos = 1_000 * MS;
 
 /// What chance is drawn for; each has a stream of its own, so that a draw more for one moves no other.
 #[derive(Clone, Copy)]
 pub enum Stream {
+    /// Customers, pay servers and gateways.
     Deployment,
+    /// Victims of the faults.
     Faults,
+    /// Arrivals of requests.
     Arrivals,
+    /// Work of the requests.
     Servers,
+    /// Delays and losses of the links.
     Links,
+    /// The counter.
     Counter,
+    /// Candidates for locks.
     Candidates,
+    /// Clients of registers.
     Registers,
 }
 
+/// Returns the random numbers of a stream.
 pub fn chance(seed: u64, stream: Stream) -> ChaCha8Rng {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     rng.set_stream(stream as u64 + 1);
@@ -40,10 +51,13 @@
 /// A client firm: its plan, how much it asks, and through which gateways.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Customer {
+    /// Its number in requests.
     pub id: u64,
+    /// Index of its plan.
     pub plan: usize,
     /// Its requests, as a share of all.
     pub weight: f64,
+    /// Its first gateway.
     pub first: u16,
     /// How its requests are spread over the gateways from `first` on; as many as its set has.
     pub spread: Vec<f64>,
@@ -56,66 +70,97 @@
 /// A plan's figures, scaled to the load.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Quota {
+    /// Its name.
     pub name: String,
+    /// Units a second.
     pub rate: f64,
+    /// Depth of the token bucket, in units.
     pub burst: f64,
+    /// Worth of a unit within the quota.
     pub price: f64,
+    /// Cost of a unit beyond it.
     pub over_cost: f64,
+    /// Attempts at once; 0 for no such bound.
     pub open: u32,
+    /// The hard ceiling in units a second; 0 for none.
     pub ceiling_rate: f64,
+    /// Depth of the ceiling, in units.
     pub ceiling_depth: f64,
+    /// How far the ceiling may be exceeded, in units.
     pub ceiling_slack: f64,
 }
 
+/// A pay server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PayServer {
+    /// Its id in lists.
     pub id: String,
+    /// Index of its zone.
     pub zone: usize,
+    /// Its cell.
     pub cell: u32,
+    /// Its speed, against one core of the reference.
     pub speed: f64,
 }
 
 /// A fault with its victims drawn.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Drawn {
+    /// What happens.
     pub kind: FaultKind,
+    /// When it begins, in nanoseconds after the load's begin.
     pub at: Nanos,
     /// When it is undone, if it ever is.
     pub until: Option<Nanos>,
+    /// Whom it strikes.
     pub victims: Vec<End>,
     /// The lock whose owner is the victim, or `leader`, found when the fault begins; and the same for the other side.
     pub owner: Option<String>,
+    /// The lock or role whose owner is on the other side.
     pub from_owner: Option<String>,
     /// The other side of a fault of links; empty: all others.
     pub from: Vec<End>,
+    /// Whether only one direction fails.
     pub one_way: bool,
+    /// Whether connections are reset.
     pub reset: bool,
+    /// Delay each way, in nanoseconds.
     pub delay: Nanos,
+    /// The most that is added to it at random, in nanoseconds.
     pub jitter: Nanos,
+    /// Share of the datagrams that are lost or duplicated.
     pub probability: f64,
 }
 
 /// All that is drawn.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Deployment {
+    /// The customers.
     pub customers: Vec<Customer>,
+    /// The plans.
     pub quotas: Vec<Quota>,
+    /// The pay servers.
     pub servers: Vec<PayServer>,
     /// The seed of each gateway's first start.
     pub gateway_seeds: Vec<u64>,
+    /// The faults.
     pub faults: Vec<Drawn>,
 }
 
 /// Classes by number.
 pub const SAFE: u8 = 0;
+/// The class that must never run twice.
 pub const UNSAFE: u8 = 1;
+/// The names of the classes.
 pub const CLASSES: [&str; 2] = ["payslip-read", "pay-run-submit"];
 
 /// A request is tried at four servers at the most.
 pub const ATTEMPTS_MOST: u32 = 4;
+/// A server that drains may still be sent to for this time.
 pub const DRAIN_GRACE: Nanos = 500 * MS;
 /// Limits that the rules give are this much longer on sockets.
 pub const SOCKET_SLACK: Nanos = 50 * MS;
+/// Pause between two reports of the meter.
 pub const METER_PERIOD: Nanos = 500 * MS;
 
 impl Deployment {
--- a/testing/fault-injection/src/figures.rs
+++ b/testing/fault-injection/src/figures.rs
@@ -23,85 +23,113 @@
 /// A run in figures; the last line of `run --json`.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Summary {
+    /// The scenario's name.
     pub scenario: String,
+    /// The seed.
     pub seed: u64,
     /// What clients wanted, each with all its tries; the next five add up to it.
     pub requests: u64,
+    /// Requests that were served.
     pub served: u64,
+    /// Requests that were rejected.
     pub refused: u64,
     /// Answered as failed, not answered in the client's time, or no gateway could be reached.
     pub failed: u64,
+    /// Requests of which nobody knows whether they ran.
     pub unknown: u64,
     /// The connection ended after the gateway had taken it: the client does not know what became of it.
     pub lost: u64,
+    /// Unsafe requests that ran more than once.
     pub ran_twice: u64,
-    /// Answers in their wanted time, a second: before the first fault, and after the last is over.
+    /// Answers within the latency target, a second, before the first fault.
     pub goodput_before: Option<f64>,
+    /// Answers within the latency target, a second, after the last fault is over.
     pub goodput_after: Option<f64>,
+    /// Time after the last fault until service is complete again, in milliseconds.
     pub time_to_full_service_ms: Option<u64>,
     /// Highest rate over steady rate; null without any.
     pub peaks: BTreeMap<String, Option<f64>>,
+    /// The invariants, by name.
     pub invariants: BTreeMap<String, Option<bool>>,
-    /// Tries that a struck gateway had in hand, and those of them whose connection ended unanswered.
+    /// Tries that a gateway had in flight when a fault struck it.
     pub in_hand: u64,
+    /// Those of them whose connection ended without an answer.
     pub in_hand_lost: u64,
-    /// Requests that must not run twice whose client was never told, and how many of them had run.
+    /// Unsafe requests whose client never had an answer.
     pub unsafe_lost: u64,
+    /// Those of them that had run.
     pub unsafe_lost_ran: u64,
     /// Clients that were left without an answer, of all.
     pub unanswered_share: f64,
     /// Tries that met no listener.
     pub unreachable_tries: u64,
+    /// Pay servers that fell under load.
     pub fell: u64,
+    /// Processes that ended by themselves.
     pub crashes: u64,
     /// The longest that a lock had nobody who acted under it; null without candidates.
     pub owner_gap_ms: Option<u64>,
     /// Effects that came too late and were refused.
     pub late_effects: u64,
+    /// Latency by quantile, in milliseconds.
     pub latency_ms: BTreeMap<String, f64>,
-    /// Sends to the own zone, of all; the first decision that has a zone out, from the first fault's begin; the first that has all
-    /// zones serve again, from the last fault's end.
+    /// The share of attempts that went to a pay server of the gateway's own zone.
     pub near_share: Option<f64>,
+    /// Time from the first fault's begin to the first decision that has a zone out, in milliseconds.
     pub time_to_failover_ms: Option<u64>,
+    /// Time from the last fault's end to the first decision that has all zones serve again, in milliseconds.
     pub time_to_return_ms: Option<u64>,
     /// Words of stewards that owned a duty no longer.
     pub late_decisions_refused: Option<u64>,
-    /// The largest distance of a firm from the exact weighted max-min solution, as a share of capacity: median over seconds outside
-    /// transitions. From the shift of demand until it is within 5%.
+    /// The largest distance of a firm from the exact weighted max-min solution, as a share of capacity: median over seconds
+    /// outside transitions.
     pub share_error: Option<f64>,
+    /// Time from the shift of demand until that distance is within 5%, in milliseconds.
     pub time_to_shares_ms: Option<u64>,
-    /// Moves of books that came to an end, and the longest time in which a book took no pay run.
+    /// Migrations of shards that came to an end.
     pub moves: Option<u64>,
+    /// The longest time in which a shard took no write, in milliseconds.
     pub move_pause_ms: Option<u64>,
     /// Writes under another epoch that cells turned away.
     pub late_writes_refused: Option<u64>,
+    /// What the harness measured of itself.
     pub lab: Lab,
 }
 
 /// What the lab itself cost, and how late it was.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Lab {
+    /// Number of events.
     pub events: u64,
     /// How late requests left, in ms: 99.9% were no later.
     pub late_p999_ms: f64,
+    /// The most that the clock was late, in milliseconds.
     pub late_most_ms: f64,
     /// The highest share of a second that its one thread was busy during the load.
     pub busy_most: f64,
     /// Processor seconds.
     pub lab_cpu_s: f64,
+    /// Processor time of the fleet, in seconds.
     pub fleet_cpu_s: f64,
+    /// Duration of the run, in seconds.
     pub wall_s: f64,
 }
 
 /// One second of the load.
 #[derive(Clone, Debug, Default)]
 pub struct Second {
+    /// Served within the latency target.
     pub good: u64,
+    /// Served late.
     pub late: u64,
+    /// Rejected.
     pub refused: u64,
+    /// Failed.
     pub failed: u64,
+    /// Lost.
     pub lost: u64,
     latencies: Vec<u64>,
+    /// Calls by kind.
     pub calls: BTreeMap<&'static str, u64>,
 }
 
@@ -161,6 +189,7 @@
 }
 
 impl Figures {
+    /// Returns figures of nothing.
     pub fn new() -> Figures {
         Figures { lateness: histogram(), latency: histogram(), ..Figures::default() }
     }
@@ -178,6 +207,7 @@
         self.second(at).into_iter().for_each(|second| *second.calls.entry(name).or_default() += 1);
     }
 
+    /// Observes the next event.
     pub fn take(&mut self, At { at, event }: &At) {
         let at = *at;
         self.lab.events += 1;
@@ -303,6 +333,7 @@
         &self.seconds
     }
 
+    /// Returns the setup, once it was observed.
     pub fn setup(&self) -> Option<&Setup> {
         self.setup.as_deref()
     }
@@ -324,6 +355,7 @@
         (to >= from + SECOND).then(|| count as f64 * SECOND as f64 / (to - from) as f64)
     }
 
+    /// Returns the summary; `None` where there was no setup.
     pub fn summary(&mut self, findings: &BTreeMap<&'static str, Finding>, told: &Told) -> Option<Summary> {
         let setup = self.setup.clone()?;
         self.good.sort_unstable();
--- a/testing/fault-injection/src/history.rs
+++ b/testing/fault-injection/src/history.rs
@@ -11,7 +11,9 @@
 use std::io::{self, BufReader, Read, Write};
 use std::path::Path;
 
+/// The first bytes of a history.
 pub const MAGIC: [u8; 8] = *b"MDLABHIS";
+/// The version of the format.
 pub const VERSION: u16 = 4;
 /// The longest payload that a reader takes.
 pub const FRAME_MOST: usize = 4 << 20;
@@ -24,31 +26,45 @@
 /// What the judge must know beforehand.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Setup {
+    /// The scenario's name.
     pub scenario: String,
+    /// The seed.
     pub seed: u64,
     /// The file's text.
     pub text: String,
+    /// The latency target in nanoseconds.
     pub aim: Nanos,
+    /// The deadline in nanoseconds.
     pub deadline: Nanos,
+    /// The duration of the load in nanoseconds.
     pub duration: Nanos,
+    /// Number of gateways.
     pub gateways: u16,
+    /// The plans.
     pub quotas: Vec<Quota>,
     /// The plan of each customer.
     pub plans: Vec<u8>,
+    /// Number of processes of the list service.
     pub list_processes: u16,
+    /// Number of coordinators.
     pub coordinators: u16,
     /// Gateways and pay servers are dealt over them in turn.
     pub zones: Vec<String>,
+    /// Number of controllers.
     pub stewards: u16,
     /// Firms' shares are decided in common; when their demand moves.
     pub shares: bool,
+    /// When demand moves, if it does.
     pub shift: Option<Nanos>,
     /// Books are decided in common, and cells turn older epochs away.
     pub books: bool,
+    /// Whether cells reject older epochs.
     pub fencing: bool,
     /// The cell of each pay server, and the number under which books know each customer.
     pub cells: Vec<u16>,
+    /// The firms, by customer.
     pub firms: Vec<u64>,
+    /// The faults with their victims.
     pub faults: Vec<Drawn>,
     /// The load begins then; faults are counted from it.
     pub load_from: Nanos,
@@ -60,7 +76,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// 200, with a pay server's body; its attempt, if that can be read.
-    Served { attempt: Option<u64> },
+    Served {
+        /// Number of the attempt, if it can be read.
+        attempt: Option<u64>,
+    },
     /// 429 or 503.
     Refused,
     /// Any other answer.
@@ -70,7 +89,10 @@
     /// No connection came up, or nothing of it was taken.
     Unreachable,
     /// The connection ended after the gateway had taken it; `first`: it was the connection's first request.
-    Reset { first: bool },
+    Reset {
+        /// Whether it was the connection's first request.
+        first: bool,
+    },
     /// Nothing had come when the client's time was over.
     TimedOut,
 }
@@ -78,14 +100,18 @@
 /// How an attempt ended at its pay server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
+    /// A response of a pay server.
     Served,
+    /// An error.
     Error,
+    /// It was dropped before it ran.
     NeverRan,
 }
 
 /// What a process does to the history.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Life {
+    /// It was started.
     Started,
     /// It serves.
     Ready,
@@ -93,67 +119,97 @@
     Ended,
     /// It ended by itself.
     Crashed,
+    /// It was suspended.
     Stopped,
+    /// It was resumed.
     Continued,
 }
 
 /// State of a server in a list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Told {
+    /// It serves.
     Serving,
+    /// It drains.
     Draining,
+    /// It is gone.
     Gone,
 }
 
 /// State of a zone in a decision.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ZoneState {
+    /// It serves.
     Serving,
+    /// It may have failed.
     Suspect,
+    /// It has failed over.
     Out,
+    /// It is being taken back.
     Returning,
+    /// It is held out by an operator.
     HeldOut,
 }
 
 /// How far a book's move is, in a map.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum BookStep {
+    /// It is not moving.
     Stands,
+    /// The migration is planned.
     Planned,
+    /// The old cell is being fenced.
     Fencing,
+    /// The old cell has no writes under way.
     Drained,
+    /// The new cell has everything.
     Copied,
 }
 
 /// A book in a map; `to`: where it goes, or where it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BookSeen {
+    /// The first firm of the shard.
     pub first: u64,
+    /// Number of the cell.
     pub cell: u16,
+    /// The epoch.
     pub epoch: u64,
+    /// How far the shard's migration is.
     pub step: BookStep,
+    /// The other end, or where it goes.
     pub to: u16,
 }
 
 /// Decisions that are made in common.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Duty {
+    /// Zones.
     Zones,
+    /// Fair shares.
     Shares,
+    /// Shards.
     Books,
 }
 
 /// What a client of the coordination service was told of a call on a register.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Returned {
+    /// The value was read.
     Value {
+        /// The value.
         value: Option<u64>,
+        /// The revision.
         revision: u64,
     },
+    /// The value was written.
     At {
+        /// The revision.
         revision: u64,
     },
+    /// The value is at another revision.
     Conflict {
+        /// The revision.
         revision: u64,
     },
     /// Nothing was done, for another reason.
@@ -162,206 +218,315 @@
     Unknown,
 }
 
+/// What happened.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Event {
+    /// The setup of the run.
     Setup(Box<Setup>),
     /// A client wants something; `late` by the lab's own doing.
     Asked {
+        /// Number of the request.
         ask: u32,
+        /// Number of the customer.
         customer: u32,
+        /// Class of the request.
         class: u8,
+        /// How late, in nanoseconds.
         late: Nanos,
     },
     /// A try leaves; the client waits so long. `back`: the same id again after its gateway was lost.
     Tried {
+        /// Number of the request.
         ask: u32,
+        /// The id of the try.
         trace: Trace,
+        /// Number of the gateway.
         gateway: u16,
+        /// How long the client waits, in nanoseconds.
         wait: Nanos,
+        /// Whether the id comes again after its gateway was lost.
         back: bool,
     },
+    /// A try has ended for its client.
     Ended {
+        /// The id of the try.
         trace: Trace,
+        /// How it ended.
         outcome: Outcome,
     },
     /// What came of a try after its client's time was over: an answer at last, or none.
     Afterwards {
+        /// The id of the try.
         trace: Trace,
+        /// Whether there was an answer.
         answered: bool,
     },
+    /// A request has ended, with all its tries.
     AskEnded {
+        /// Number of the request.
         ask: u32,
+        /// How it ended.
         outcome: Outcome,
     },
     /// A connection from one end to another has come up.
     Opened {
+        /// Number of the connection.
         connection: u64,
+        /// The end that opened it.
         from: End,
+        /// The other end, or where it goes.
         to: End,
     },
     /// Its far side, the one that opened it, has closed it or is gone.
     Closed {
+        /// Number of the connection.
         connection: u64,
     },
     /// A pay server has all of an attempt.
     Arrived {
+        /// Number of the attempt.
         attempt: u64,
+        /// The id of the try.
         trace: Trace,
+        /// Number of the pay server.
         server: u16,
+        /// Number of the connection.
         connection: u64,
+        /// Number of the gateway.
         gateway: u16,
     },
     /// It begins to run.
     Ran {
+        /// Number of the attempt.
         attempt: u64,
     },
+    /// An attempt has ended at its pay server.
     Answered {
+        /// Number of the attempt.
         attempt: u64,
+        /// How it ended.
         answer: Answer,
     },
+    /// A gateway has probed a pay server.
     Probed {
+        /// Number of the pay server.
         server: u16,
+        /// Number of the gateway.
         gateway: u16,
     },
     /// A cold pay server was sent too much.
     Fell {
+        /// Number of the pay server.
         server: u16,
     },
     /// A gateway asks for the list.
     ListAsked {
+        /// Number of the gateway.
         gateway: u16,
+        /// The version, or revision, that the caller has.
         since: Option<u64>,
     },
     /// And is told it; servers by number.
     ListTold {
+        /// Number of the gateway.
         gateway: u16,
+        /// Number of the process that told it.
         list: u16,
+        /// The store that the version is of.
         store: u64,
+        /// The epoch.
         epoch: u64,
+        /// The version.
         version: u64,
+        /// Whether it is complete.
         full: bool,
+        /// The servers by number, and their states.
         servers: Vec<(u16, Told)>,
     },
     /// The list service acknowledged a registration.
     Registered {
+        /// Number of the pay server.
         server: u16,
+        /// Number of the process that told it.
         list: u16,
     },
+    /// A pay server's registration was renewed.
     Renewed {
+        /// Number of the pay server.
         server: u16,
     },
+    /// A gateway has called the counter.
     Counted {
+        /// Number of the gateway.
         gateway: u16,
+        /// Whether it was rejected as too much.
         busy: bool,
     },
     /// A candidate was told that it has a lock, which it asked for at this instant.
     Granted {
+        /// Number of the candidate.
         candidate: u16,
+        /// Number of the lock.
         lock: u16,
+        /// The fencing token.
         token: u64,
+        /// When it was requested.
         asked: Nanos,
     },
     /// It has shown, by its own clock, that it still holds it, and is about to act.
     Acts {
+        /// Number of the candidate.
         candidate: u16,
+        /// Number of the lock.
         lock: u16,
+        /// The fencing token.
         token: u64,
     },
     /// Its effect has come to the place that takes it.
     Effect {
+        /// Number of the candidate.
         candidate: u16,
+        /// Number of the lock.
         lock: u16,
+        /// The fencing token.
         token: u64,
+        /// Whether it was admitted.
         admitted: bool,
     },
     /// A client calls on a register: reads it, or puts a value there, at a revision or at any.
     Called {
+        /// Number of the client.
         client: u16,
+        /// Number of the call.
         call: u64,
+        /// Number of the register.
         register: u16,
+        /// The value, and the revision that it expects; `None` for a read.
         put: Option<(u64, Option<u64>)>,
     },
+    /// A call on a register has returned.
     Returned {
+        /// Number of the call.
         call: u64,
+        /// The result.
         returned: Returned,
     },
     /// A watcher was told the changes behind a revision up to another: which revision, register and value. Without `since` it
     /// begins there.
     Watched {
+        /// Number of the watcher.
         watcher: u16,
+        /// The version, or revision, that the caller has.
         since: Option<u64>,
+        /// The revision up to which changes were reported.
         upto: u64,
+        /// The changes: revision, register and value.
         changes: Vec<(u64, u16, u64)>,
     },
+    /// A process or stand-in was started, or has ended.
     Lived {
+        /// The process or stand-in.
         end: End,
+        /// What happened to it.
         life: Life,
     },
+    /// A fault begins.
     FaultBegan {
+        /// Number of the fault.
         fault: u16,
     },
+    /// A fault is over.
     FaultOver {
+        /// Number of the fault.
         fault: u16,
     },
     /// The lab's own clock was late by so much: nothing that it saw meanwhile is exact.
     Stalled {
+        /// How late, in nanoseconds.
         late: Nanos,
     },
     /// Processor time that the lab's own process took in the second before.
     Busy {
+        /// Processor time in nanoseconds.
         cpu: Nanos,
     },
     /// Nothing follows.
     Finished {
+        /// Processor time of the harness in nanoseconds.
         lab_cpu: Nanos,
+        /// Processor time of all other processes in nanoseconds.
         fleet_cpu: Nanos,
     },
     /// A decision on zones was published: each zone's state, and the units a second that it bears.
     Decided {
+        /// The fencing token.
         token: u64,
+        /// The revision.
         revision: u64,
+        /// The zones.
         zones: Vec<(ZoneState, f64)>,
     },
     /// A decision on shares was published: the level, and what all may send on together, in units a second.
     SharesDecided {
+        /// The fencing token.
         token: u64,
+        /// The revision.
         revision: u64,
+        /// The level of service.
         level: f64,
+        /// The capacity in units a second.
         capacity: f64,
     },
     /// A book map was published.
     BooksDecided {
+        /// The fencing token.
         token: u64,
+        /// The revision.
         revision: u64,
+        /// The shards.
         books: Vec<BookSeen>,
     },
     /// A write came to a cell under an epoch (0: it named none), and was admitted or turned away.
     BookWrite {
+        /// Number of the attempt.
         attempt: u64,
+        /// Number of the cell.
         cell: u16,
+        /// The firm.
         firm: u64,
+        /// The epoch.
         epoch: u64,
+        /// Whether it was admitted.
         admitted: bool,
     },
     /// At the end: which cells have what an attempt wrote.
     CellsHold {
+        /// The id of the try.
         trace: Trace,
+        /// Numbers of the cells.
         cells: Vec<u16>,
     },
     /// A gateway says that it goes by a decision from now on.
     GoesBy {
+        /// Number of the gateway.
         gateway: u16,
+        /// The kind of the decision.
         duty: Duty,
+        /// The fencing token.
         token: u64,
+        /// The revision.
         revision: u64,
     },
     /// A steward's word came too late and was refused.
     DecisionRefused {
+        /// Number of the controller.
         steward: u16,
     },
     /// The platform's agents hold this of a server: it counts as told to every gateway, asked for or not.
     AgentsHold {
+        /// Number of the pay server.
         server: u16,
+        /// The state.
         told: Told,
     },
 }
@@ -369,7 +534,9 @@
 /// An event with its time.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct At {
+    /// When it happened, in nanoseconds since the start.
     pub at: Nanos,
+    /// What happened.
     pub event: Event,
 }
 
@@ -380,12 +547,22 @@
 }
 
 impl<W: Write> Writer<W> {
+    /// Returns a writer that has written the head.
+    ///
+    /// # Errors
+    ///
+    /// It cannot be written.
     pub fn new(mut out: W) -> io::Result<Writer<W>> {
         out.write_all(&MAGIC)?;
         out.write_all(&VERSION.to_le_bytes())?;
         Ok(Writer { out, pending: Vec::with_capacity(2 * FRAME_USUAL) })
     }
 
+    /// Adds an event.
+    ///
+    /// # Errors
+    ///
+    /// Earlier events cannot be written.
     pub fn add(&mut self, event: &At) -> io::Result<()> {
         let pending = std::mem::take(&mut self.pending);
         self.pending = postcard::to_extend(event, pending).map_err(io::Error::other)?;
@@ -412,7 +589,9 @@
 /// Why a history cannot be read, and at which byte.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Damage {
+    /// Offset in the file.
     pub byte: u64,
+    /// What is wrong.
     pub what: &'static str,
 }
 
@@ -442,6 +621,11 @@
 }
 
 impl<R: Read> Reader<R> {
+    /// Returns a reader that has read the head.
+    ///
+    /// # Errors
+    ///
+    /// It is none, or of another version.
     pub fn new(input: R) -> Result<Reader<R>, Damage> {
         let mut reader = Reader { input, byte: 0 };
         let mut head = [0; 10];
--- a/testing/fault-injection/src/linear.rs
+++ b/testing/fault-injection/src/linear.rs
@@ -10,10 +10,13 @@
 /// What was asked of a register.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Op {
+    /// Reads it.
     Read,
     /// `expect`: only at this revision, 0 where there is no value yet.
     Put {
+        /// The value.
         value: u64,
+        /// The revision at which it must be.
         expect: Option<u64>,
     },
 }
@@ -21,8 +24,11 @@
 /// What was answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ret {
+    /// Its value and revision.
     Value {
+        /// The value; `None` where there is none yet.
         value: Option<u64>,
+        /// The revision.
         revision: u64,
     },
     /// Written at this revision.
@@ -34,14 +40,20 @@
 /// A call; without an answer it may have taken effect at any time since its begin, or never.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Call {
+    /// Who called.
     pub client: u16,
+    /// When the call began.
     pub from: Nanos,
+    /// The operation.
     pub op: Op,
+    /// When it returned, and the result.
     pub answer: Option<(Nanos, Ret)>,
 }
 
+/// Whether a history is linearizable.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
+    /// It is.
     Linear,
     /// No order of the calls explains the answers.
     Not,
--- a/testing/fault-injection/src/link.rs
+++ b/testing/fault-injection/src/link.rs
@@ -18,13 +18,18 @@
     pub connects: bool,
     /// Connections are reset.
     pub reset: bool,
+    /// Delay each way, in nanoseconds.
     pub delay: Nanos,
+    /// The most that is added to it at random, in nanoseconds.
     pub jitter: Nanos,
+    /// Share of the datagrams that are lost.
     pub loss: f64,
+    /// Share of the datagrams that are duplicated.
     pub duplicates: f64,
 }
 
 impl Path {
+    /// A link without a fault.
     pub const CLEAR: Path =
         Path { open: true, connects: true, reset: false, delay: 0, jitter: 0, loss: 0.0, duplicates: 0.0 };
 
@@ -94,6 +99,7 @@
         self.active.push((number, rule));
     }
 
+    /// Ends a fault.
     pub fn end(&mut self, number: usize) {
         self.active.retain(|(of, _)| *of != number);
     }
@@ -140,14 +146,17 @@
         self.path(from, to).connects && self.path(to, from).connects
     }
 
+    /// Whether a process or a stand-in is suspended.
     pub fn stands_still(&self, end: End) -> bool {
         self.still.contains(&end)
     }
 
+    /// Whether connections in this direction are reset.
     pub fn reset(&self, from: End, to: End) -> bool {
         self.path(from, to).reset || self.path(to, from).reset
     }
 
+    /// Whether there is no fault.
     pub fn is_empty(&self) -> bool {
         self.active.is_empty() && self.still.is_empty()
     }
--- a/testing/fault-injection/src/shell.rs
+++ b/testing/fault-injection/src/shell.rs
@@ -29,15 +29,20 @@
 
 /// What all of the lab's tasks share.
 pub struct World {
+    /// The scenario.
     pub scenario: Scenario,
+    /// What was drawn for it.
     pub deployment: Deployment,
+    /// The seed.
     pub seed: u64,
     origin: Instant,
     history: RefCell<Writer<File>>,
     /// The first failure to write the history: the run is worth nothing then.
     broken: RefCell<Option<std::io::Error>>,
     rules: RefCell<Rules>,
+    /// Notified whenever the faults of links change.
     pub rules_changed: Notify,
+    /// Random numbers of the links.
     pub chance: RefCell<ChaCha8Rng>,
     next: Cell<u64>,
     /// Whose each id is: customer and class. Kept while pay servers may see it.
@@ -45,6 +50,7 @@
 }
 
 impl World {
+    /// Returns the world of a run, whose clock begins now.
     pub fn new(scenario: Scenario, deployment: Deployment, seed: u64, history: Writer<File>) -> Rc<World> {
         Rc::new(World {
             scenario,
@@ -61,18 +67,22 @@
         })
     }
 
+    /// Returns the time since the start of the run.
     pub fn now(&self) -> Nanos {
         u64::try_from(self.origin.elapsed().as_nanos()).unwrap_or(u64::MAX)
     }
 
+    /// Returns an instant of the run.
     pub fn instant(&self, at: Nanos) -> Instant {
         self.origin + Duration::from_nanos(at)
     }
 
+    /// Waits until an instant of the run.
     pub async fn sleep_until(&self, at: Nanos) {
         tokio::time::sleep_until(self.instant(at)).await;
     }
 
+    /// Records an event, with the present time.
     pub fn record(&self, event: Event) {
         let at = At { at: self.now(), event };
         if let Err(e) = self.history.borrow_mut().add(&at) {
@@ -96,11 +106,13 @@
         self.next.replace(self.next.get() + 1)
     }
 
+    /// Changes the faults of links.
     pub fn change_rules(&self, change: impl FnOnce(&mut Rules)) {
         change(&mut self.rules.borrow_mut());
         self.rules_changed.notify_waiters();
     }
 
+    /// Returns the state of a link in one direction.
     pub fn path(&self, from: End, to: End) -> Path {
         let rules = self.rules.borrow();
         if rules.is_empty() {
@@ -109,15 +121,18 @@
         rules.path(from, to)
     }
 
+    /// Whether a process or a stand-in is suspended.
     pub fn stands_still(&self, end: End) -> bool {
         self.rules.borrow().stands_still(end)
     }
 
+    /// Whether connections in this direction come up.
     pub fn connects(&self, from: End, to: End) -> bool {
         let rules = self.rules.borrow();
         rules.is_empty() || rules.connects(from, to)
     }
 
+    /// Whether connections in this direction are reset.
     pub fn reset(&self, from: End, to: End) -> bool {
         let rules = self.rules.borrow();
         !rules.is_empty() && rules.reset(from, to)
--- a/testing/fault-injection/src/shell/cells.rs
+++ b/testing/fault-injection/src/shell/cells.rs
@@ -23,10 +23,12 @@
     world: Rc<World>,
     fleet: Fleet,
     cells: Vec<RefCell<Cell>>,
+    /// Their listeners, by number.
     pub doors: Vec<Rc<Door>>,
 }
 
 impl Cells {
+    /// Starts the stores of the cells.
     pub fn new(world: &Rc<World>, fleet: &str) -> io::Result<Rc<Cells>> {
         let scenario = &world.scenario;
         let count = scenario.fleet.cells as u16;
@@ -112,10 +114,12 @@
         admitted
     }
 
+    /// Records that an attempt runs.
     pub fn ran(&self, number: u16, attempt: u64, trace: Trace) {
         self.of(number).into_iter().for_each(|cell| cell.borrow_mut().ran(attempt, trace));
     }
 
+    /// Records that an attempt has ended.
     pub fn ended(&self, number: u16, attempt: u64) {
         self.of(number).into_iter().for_each(|cell| cell.borrow_mut().ended(attempt));
     }
--- a/testing/fault-injection/src/shell/clients.rs
+++ b/testing/fault-injection/src/shell/clients.rs
@@ -42,6 +42,7 @@
 
 /// Where requests come in.
 pub enum Entry {
+    /// A gateway.
     Gateway(Rc<Process>),
     /// A pay server, where the fleet has no gateways; at the port that its place tells.
     PayServer(u16, Rc<RefCell<Vec<(u16, u64)>>>),
@@ -73,6 +74,7 @@
     }
 }
 
+/// The clients, and the load balancer before the gateways.
 pub struct Clients {
     world: Rc<World>,
     entries: Vec<Entry>,
@@ -81,7 +83,9 @@
     manners: Manners,
     /// Requests that have not ended.
     pub open: Cell<u64>,
+    /// Number of requests so far.
     pub asked: Cell<u64>,
+    /// Number of served requests so far.
     pub served: Cell<u64>,
 }
 
@@ -89,6 +93,7 @@
 type Answer = Result<(u16, HeaderMap, Bytes), ()>;
 
 impl Clients {
+    /// Returns the clients of these processes.
     pub fn new(world: &Rc<World>, entries: Vec<Entry>) -> Rc<Clients> {
         Rc::new(Clients {
             front: RefCell::new(Front::new(entries.len())),
@@ -278,6 +283,7 @@
         }
     }
 
+    /// Returns the time since the start of the run.
     pub fn now(&self) -> Nanos {
         self.world.now()
     }
--- a/testing/fault-injection/src/shell/lists.rs
+++ b/testing/fault-injection/src/shell/lists.rs
@@ -40,6 +40,7 @@
 pub struct Door {
     world: Rc<World>,
     to: End,
+    /// Its port.
     pub port: u16,
     listener: TcpListener,
     /// Rises when all connections are to end.
@@ -48,6 +49,7 @@
 }
 
 impl Door {
+    /// Opens a listener in front of a process or a stand-in.
     pub fn open(world: &Rc<World>, to: End) -> io::Result<Rc<Door>> {
         let (listener, port) = address::listen()?;
         let open = Cell::new(true);
@@ -63,10 +65,12 @@
         }
     }
 
+    /// Resets the connections that the faults of links end.
     pub fn shut_out(&self) {
         shut_out(&self.world, &self.listener, self.to);
     }
 
+    /// Whether it accepts connections.
     pub fn is_open(&self) -> bool {
         self.open.get()
     }
@@ -129,12 +133,15 @@
 
 /// The stand-in of the platform's discovery.
 pub struct Platform {
+    /// Its listener.
     pub door: Rc<Door>,
+    /// The list.
     pub list: RefCell<List>,
     changed: Notify,
 }
 
 impl Platform {
+    /// Starts the stand-in.
     pub fn new(world: &Rc<World>) -> io::Result<Rc<Platform>> {
         let door = Door::open(world, End::ListService(0))?;
         let platform = Rc::new(Platform { door, list: RefCell::new(List::new(1)), changed: Notify::new() });
@@ -361,11 +368,14 @@
 
 /// The counter.
 pub struct Counts {
+    /// Its listener.
     pub door: Rc<Door>,
+    /// The counter.
     pub core: RefCell<Counter>,
 }
 
 impl Counts {
+    /// Starts the stand-in.
     pub fn new(world: &Rc<World>) -> io::Result<Rc<Counts>> {
         let door = Door::open(world, End::Counter)?;
         let core = RefCell::new(Counter::new(world.scenario.site.counter_per_s));
--- a/testing/fault-injection/src/shell/pay_servers.rs
+++ b/testing/fault-injection/src/shell/pay_servers.rs
@@ -43,6 +43,7 @@
 }
 
 impl Fleet {
+    /// Returns what all pay servers share.
     pub fn new(world: &World) -> Rc<Fleet> {
         let deployment = &world.deployment;
         let rates = deployment.customers.iter().map(|customer| deployment.quotas[customer.plan].rate);
@@ -75,6 +76,7 @@
 
 /// One pay server.
 pub struct Server {
+    /// Its number.
     pub number: u16,
     world: Rc<World>,
     fleet: Rc<Fleet>,
@@ -92,6 +94,7 @@
 }
 
 impl Server {
+    /// Returns a pay server that is not started yet.
     pub fn new(world: &Rc<World>, fleet: &Rc<Fleet>, cells: &Rc<Cells>, number: u16) -> Rc<Server> {
         let server = Rc::new(Server {
             number,
@@ -160,6 +163,7 @@
         self.process.send_replace(Process::Gone);
     }
 
+    /// Starts draining.
     pub fn drain(&self) {
         self.core.borrow_mut().drain();
     }
--- a/testing/fault-injection/src/shell/process.rs
+++ b/testing/fault-injection/src/shell/process.rs
@@ -26,15 +26,20 @@
 /// The longest line that is kept of a process.
 const LINE_MOST: usize = 4096;
 
+/// The state of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
+    /// It does not run.
     Down,
+    /// It was started and does not listen yet.
     Starting(Pid),
+    /// It listens at this address.
     Up(Pid, SocketAddr),
 }
 
 /// A place in the fleet, with or without a process.
 pub struct Process {
+    /// What it is.
     pub end: End,
     world: Rc<World>,
     /// The lab's own program, which becomes the other.
@@ -50,6 +55,7 @@
 }
 
 impl Process {
+    /// Returns a process that is not started yet.
     pub fn new(world: &Rc<World>, end: End, holder: PathBuf, program: PathBuf, log: PathBuf) -> Rc<Process> {
         Rc::new(Process {
             end,
@@ -73,6 +79,7 @@
         }
     }
 
+    /// Whether it runs.
     pub fn lives(&self) -> bool {
         *self.state.borrow() != State::Down
     }
@@ -231,6 +238,7 @@
         self.told.set(expected);
     }
 
+    /// Waits until it has ended.
     pub async fn gone(&self) {
         // The sender is this one's own, so it outlives the wait.
         drop(self.state.subscribe().wait_for(|state| *state == State::Down).await);
--- a/testing/fault-injection/src/shell/relay.rs
+++ b/testing/fault-injection/src/shell/relay.rs
@@ -45,7 +45,9 @@
 pub struct Watch {
     /// The first side has closed, or is gone.
     pub closed: Option<Box<dyn FnOnce()>>,
+    /// Observes what goes from the caller.
     pub there: Option<Tap>,
+    /// Observes what comes back.
     pub back: Option<Tap>,
     /// Bytes that have reached the first side.
     pub delivered: Rc<Cell<u64>>,
--- a/testing/fault-injection/src/shell/run/mod.rs
+++ b/testing/fault-injection/src/shell/run/mod.rs
@@ -29,7 +29,9 @@
 
 /// File names of a run.
 pub const HISTORY: &str = "history.bin";
+/// The scenario's file.
 pub const SCENARIO: &str = "scenario.toml";
+/// The summary's file.
 pub const SUMMARY: &str = "summary.json";
 
 /// The fleet's name in the coordination service.
--- a/testing/fault-injection/src/stand/cell.rs
+++ b/testing/fault-injection/src/stand/cell.rs
@@ -9,6 +9,7 @@
 use marblecroft_shard_map::map::{Epoch, Firm};
 use std::collections::{BTreeSet, HashMap};
 
+/// The store of a cell: what was written, and under which epochs.
 #[derive(Default)]
 pub struct Cell {
     keeper: CellState,
@@ -22,12 +23,14 @@
 /// What is left to do before an ask can be answered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Then {
+    /// Reply.
     Say(CellReply),
     /// These records are to be at the other cell.
     Copy(u32, Vec<(Firm, Trace)>),
 }
 
 impl Cell {
+    /// Returns an empty store.
     pub fn new(fencing: bool) -> Cell {
         Cell { fencing, ..Cell::default() }
     }
@@ -53,6 +56,7 @@
         self.out.remove(&attempt);
     }
 
+    /// Handles a call of the controller.
     pub fn ask(&mut self, asked: &CellRequest) -> Then {
         match self.keeper.handle_request(asked) {
             CellAction::Reply(said) => Then::Say(said),
@@ -71,10 +75,12 @@
         self.records.extend(records);
     }
 
+    /// Returns all writes, with their firms.
     pub fn written(&self) -> impl Iterator<Item = (Trace, Firm)> + '_ {
         self.records.iter().map(|(firm, trace)| (*trace, *firm))
     }
 
+    /// Whether a write is there.
     pub fn holds(&self, firm: Firm, trace: Trace) -> bool {
         self.records.contains(&(firm, trace))
     }
--- a/testing/fault-injection/src/stand/clients.rs
+++ b/testing/fault-injection/src/stand/clients.rs
@@ -22,15 +22,22 @@
 /// How clients behave.
 #[derive(Clone, Debug)]
 pub struct Manners {
+    /// The deadline in nanoseconds.
     pub deadline: Nanos,
+    /// The least share of the deadline that a client waits for a try.
     pub try_share: f64,
+    /// The pause before a retry, in nanoseconds.
     pub backoff: Nanos,
+    /// The share of rejections whose `Retry-After` is honoured.
     pub honour: f64,
+    /// Retries of a client.
     pub retries: u32,
+    /// Whether a client that lost its gateway comes back with the same id.
     pub come_back: bool,
 }
 
 impl Manners {
+    /// Returns the behaviour of a scenario's clients.
     pub fn of(scenario: &Scenario) -> Manners {
         Manners {
             deadline: scenario.site.deadline_ms * MS,
@@ -58,9 +65,13 @@
 /// One request that a client is about to make.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Arrival {
+    /// Number of the request.
     pub ask: u32,
+    /// When it arrives, in nanoseconds after the load's begin.
     pub at: Nanos,
+    /// Number of the customer.
     pub customer: u32,
+    /// Its class.
     pub class: u8,
     /// Demand has moved.
     pub moved: bool,
@@ -123,10 +134,12 @@
 }
 
 impl Front {
+    /// Returns a load balancer to which all gateways are alive.
     pub fn new(gateways: usize) -> Front {
         Front { alive: vec![true; gateways] }
     }
 
+    /// Records whether a gateway is alive.
     pub fn set(&mut self, gateway: u16, alive: bool) {
         self.alive[usize::from(gateway)] = alive;
     }
@@ -160,15 +173,22 @@
 /// What a client does next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Next {
+    /// Another try.
     Try(Try),
+    /// The request has ended.
     End(Outcome),
 }
 
+/// A try.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Try {
+    /// The pause before it, in nanoseconds.
     pub after: Nanos,
+    /// The gateway.
     pub gateway: u16,
+    /// Its id.
     pub trace: Trace,
+    /// How long the client waits, in nanoseconds.
     pub wait: Nanos,
     /// A retry, which clients mark.
     pub marked: bool,
@@ -188,6 +208,7 @@
 }
 
 impl Asking {
+    /// Returns a request that has just arrived.
     pub fn new(arrival: &Arrival, manners: Manners, now: Nanos) -> Asking {
         Asking {
             left: manners.retries,
--- a/testing/fault-injection/src/stand/counter.rs
+++ b/testing/fault-injection/src/stand/counter.rs
@@ -14,6 +14,7 @@
 const WAIT_MOST: Nanos = 200 * MS;
 const NAMES_MOST: usize = 200_000;
 
+/// The shared counter of the quotas.
 pub struct Counter {
     totals: BTreeMap<String, (f64, Nanos)>,
     /// What a call takes.
@@ -24,12 +25,16 @@
 /// An answer without its line's end, and when it is due.
 #[derive(Debug, PartialEq)]
 pub struct Reply {
+    /// The text of the reply.
     pub text: String,
+    /// When it is sent, in nanoseconds.
     pub at: Nanos,
+    /// Whether the call is rejected as too much.
     pub busy: bool,
 }
 
 impl Counter {
+    /// Returns a counter that bears this many calls a second.
     pub fn new(calls_per_s: f64) -> Counter {
         Counter { totals: BTreeMap::new(), each: (SECOND as f64 / calls_per_s) as Nanos, free: 0 }
     }
--- a/testing/fault-injection/src/stand/list.rs
+++ b/testing/fault-injection/src/stand/list.rs
@@ -16,8 +16,11 @@
 
 /// What a gateway is told.
 pub struct Answer {
+    /// The version.
     pub version: u64,
+    /// Whether it is complete.
     pub full: bool,
+    /// The servers, by number.
     pub servers: Vec<(u16, Host)>,
 }
 
@@ -27,6 +30,7 @@
         List { version, entries: BTreeMap::new() }
     }
 
+    /// Returns the newest version.
     pub fn version(&self) -> u64 {
         self.version
     }
@@ -71,11 +75,13 @@
         })
     }
 
+    /// Returns the state of each server.
     pub fn told(&self) -> Vec<(u16, Told)> {
         self.servers.iter().map(|(number, host)| (*number, told(host.state))).collect()
     }
 }
 
+/// Returns the state of a server as the history has it.
 pub fn told(state: State) -> Told {
     match state {
         State::Serving => Told::Serving,
--- a/testing/fault-injection/src/stand/meter.rs
+++ b/testing/fault-injection/src/stand/meter.rs
@@ -9,6 +9,7 @@
 /// Periods that are kept of a customer; the oldest is far older than any that is told.
 const KEPT: usize = 256;
 
+/// Meters the units of the customers, and reports them late.
 pub struct Meter {
     late: Nanos,
     /// Rates of the customers' plans, in units a second.
@@ -17,6 +18,7 @@
 }
 
 impl Meter {
+    /// Returns a meter for customers with these rates.
     pub fn new(late: Nanos, rates: Vec<f64>) -> Meter {
         Meter { late, rates, used: HashMap::new() }
     }
--- a/testing/fault-injection/src/stand/pay_server.rs
+++ b/testing/fault-injection/src/stand/pay_server.rs
@@ -25,6 +25,7 @@
 pub enum Act {
     /// The attempt begins to run.
     Ran(u64),
+    /// The attempt has ended.
     Answer(u64, Answer),
     /// It fell over: all it had is lost, and it stays down.
     Fell,
@@ -56,6 +57,7 @@
     fails: bool,
 }
 
+/// A pay server.
 pub struct PayServer {
     speed: f64,
     slots: usize,
@@ -68,6 +70,7 @@
     fall_multiple: f64,
     fall: Nanos,
     handshake: f64,
+    /// Connections that it accepts at most.
     pub connections_most: usize,
     state: State,
     paused: bool,
--- a/testing/fault-injection/src/verdict.rs
+++ b/testing/fault-injection/src/verdict.rs
@@ -13,8 +13,11 @@
 /// Beyond this share of its thread the lab's own waits show in what it measures.
 const BUSY: f64 = 0.8;
 
+/// The verdict on a run.
 pub struct Verdict {
+    /// The findings, by invariant.
     pub findings: BTreeMap<&'static str, Finding>,
+    /// The figures.
     pub summary: Summary,
     /// What was wanted beyond the invariants, and missed.
     pub missed: Vec<String>,
@@ -67,6 +70,7 @@
 }
 
 impl Verdict {
+    /// Whether all invariants hold, nothing that was expected is missed, and no process has crashed.
     pub fn holds(&self) -> bool {
         self.summary.crashes == 0
             && self.missed.is_empty()
