Fault injection: one function for each kind of victim; discovery: typed errors

Change: what strikes and repairs a pay server, a process and a stand-in is a function each, in place of two matches of 60 lines. The discovery service's program has typed errors for its configuration and its start; each message is the line that it was. The library that the gateway links is untouched.

--- a/quota-gateway/discovery/src/config.rs
+++ b/quota-gateway/discovery/src/config.rs
@@ -1,11 +1,44 @@
 //! The configuration: one JSON file, read at the start.
 
 use marblecroft_logging::LogConfig;
+use quick_error::quick_error;
 use serde::Deserialize;
 use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::{env, fs};
+use std::{env, fs, io};
+
+quick_error! {
+    /// Why a configuration cannot be used.
+    #[derive(Debug)]
+    pub enum ConfigError {
+        /// No file is named.
+        NoFile {
+            display("the configuration's file is named nowhere")
+        }
+        /// There is more than one argument.
+        ExtraArgument {
+            display("more than one argument")
+        }
+        /// The file cannot be read.
+        Read(path: PathBuf, error: io::Error) {
+            display("{}: {}", path.display(), error)
+            source(error)
+        }
+        /// The file is no JSON, or has a field that does not exist or a value of another type.
+        Syntax(message: String) {
+            display("{}", message)
+        }
+        /// The address is not one of this machine alone.
+        NotLoopback(address: SocketAddr) {
+            display("listen: {} is not on this machine alone, and allow_other_than_loopback is not set", address)
+        }
+        /// A field has a value that is not allowed, for this reason.
+        Value(field: &'static str, reason: String) {
+            display("{}: {}", field, reason)
+        }
+    }
+}
 
 /// The configuration. Fields without a stated default are required.
 #[derive(Debug, Deserialize)]
@@ -71,36 +104,39 @@
 
 impl Config {
     /// Reads the file that the one argument names, or the environment variable `MARBLECROFT_DISCOVERY_CONFIG`, or its former
-    /// name `MAPLEDECK_DISCOVERY_CONFIG`. The error is one line for the operator.
-    pub fn load(mut args: impl Iterator<Item = OsString>) -> Result<Config, String> {
+    /// name `MAPLEDECK_DISCOVERY_CONFIG`.
+    ///
+    /// # Errors
+    ///
+    /// See [`ConfigError`]: one line for the operator.
+    pub fn load(mut args: impl Iterator<Item = OsString>) -> Result<Config, ConfigError> {
         let path = args
             .next()
             .or_else(|| env::var_os("MARBLECROFT_DISCOVERY_CONFIG"))
             .or_else(|| env::var_os("MAPLEDECK_DISCOVERY_CONFIG"));
-        let path = PathBuf::from(path.ok_or("the configuration's file is named nowhere")?);
+        let path = PathBuf::from(path.ok_or(ConfigError::NoFile)?);
         if args.next().is_some() {
-            return Err("more than one argument".to_owned());
+            return Err(ConfigError::ExtraArgument);
         }
-        let text = fs::read(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+        let text = fs::read(&path).map_err(|error| ConfigError::Read(path, error))?;
         let mut deserializer = serde_json::Deserializer::from_slice(&text);
         let config: Config = serde_path_to_error::deserialize(&mut deserializer)
-            .map_err(|e| e.to_string().replace('\n', " "))?;
-        deserializer.end().map_err(|e| e.to_string())?;
+            .map_err(|error| ConfigError::Syntax(error.to_string().replace('\n', " ")))?;
+        deserializer.end().map_err(|error| ConfigError::Syntax(error.to_string()))?;
         if !config.listen.ip().is_loopback() && !config.allow_other_than_loopback {
-            return Err(format!(
-                "listen: {} is not on this machine alone, and allow_other_than_loopback is not set",
-                config.listen
-            ));
+            return Err(ConfigError::NotLoopback(config.listen));
         }
         if config.peers.len() > MAX_PEERS {
-            return Err(format!("peers: more than {MAX_PEERS}"));
+            return Err(ConfigError::Value("peers", format!("more than {MAX_PEERS}")));
         }
         if !(MIN_STALENESS_MS..=MAX_STALENESS_MS).contains(&config.stale_ms) {
-            return Err(format!("stale_ms: not from {MIN_STALENESS_MS} to {MAX_STALENESS_MS}"));
+            let reason = format!("not from {MIN_STALENESS_MS} to {MAX_STALENESS_MS}");
+            return Err(ConfigError::Value("stale_ms", reason));
         }
         let Limits { connections, watches, whole_lists_per_s, gather_ms } = config.limits;
         if connections == 0 || watches == 0 || whole_lists_per_s == 0 || gather_ms > MAX_BATCHING_MS {
-            return Err(format!("limits: each is above 0, and gather_ms {MAX_BATCHING_MS} at most"));
+            let reason = format!("each is above 0, and gather_ms {MAX_BATCHING_MS} at most");
+            return Err(ConfigError::Value("limits", reason));
         }
         Ok(config)
     }
--- a/quota-gateway/discovery/src/main.rs
+++ b/quota-gateway/discovery/src/main.rs
@@ -12,13 +12,14 @@
 
 use config::Config;
 use connection::Server;
-use marblecroft_discovery::journal::{Folder, Journal};
+use marblecroft_discovery::journal::{Folder, Journal, JournalError};
 use marblecroft_discovery::store::Store;
 use marblecroft_logging::LogConfig;
+use quick_error::quick_error;
 use role::Role;
 use service::{unix_ms, Service};
-use std::fmt::Display;
 use std::io;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -49,12 +50,41 @@
     }
 }
 
-/// Restores the store from its folder and serves it. The error is one line.
-fn run(config: Config) -> Result<(), String> {
-    let with_path = |e: &dyn Display| format!("{}: {e}", config.data.display());
-    let folder = Folder::lock(&config.data).map_err(|e| with_path(&e))?;
-    let folder = folder.ok_or_else(|| with_path(&"another process has it"))?;
-    let (mut journal, recovered) = Journal::open(folder).map_err(|e| with_path(&e))?;
+quick_error! {
+    /// Why the process ends with an error.
+    #[derive(Debug)]
+    enum ServerError {
+        /// The folder cannot be read or written.
+        Folder(path: PathBuf, error: io::Error) {
+            display("{}: {}", path.display(), error)
+            source(error)
+        }
+        /// Another process uses the folder.
+        FolderInUse(path: PathBuf) {
+            display("{}: another process has it", path.display())
+        }
+        /// The journal cannot be read.
+        Journal(path: PathBuf, error: JournalError) {
+            display("{}: {}", path.display(), error)
+            source(error)
+        }
+        /// The runtime, its signals or its socket cannot be set up.
+        Runtime(error: io::Error) {
+            display("{}", error)
+            source(error)
+            from()
+        }
+    }
+}
+
+/// Restores the store from its folder and serves it.
+fn run(config: Config) -> Result<(), ServerError> {
+    let unusable = |error| ServerError::Folder(config.data.clone(), error);
+    let folder = Folder::lock(&config.data).map_err(unusable)?;
+    let folder = folder.ok_or_else(|| ServerError::FolderInUse(config.data.clone()))?;
+    let opened = Journal::open(folder);
+    let (mut journal, recovered) =
+        opened.map_err(|error| ServerError::Journal(config.data.clone(), error))?;
     if recovered.torn_bytes > 0 {
         warn!(
             bytes = recovered.torn_bytes,
@@ -65,12 +95,11 @@
     let role = Role::at_start(&config, &store);
     if role.is_writer() {
         let opened = store.opening_record(unix_ms());
-        journal.append(std::slice::from_ref(&opened)).map_err(|e| with_path(&e))?;
+        journal.append(std::slice::from_ref(&opened)).map_err(unusable)?;
         store.apply(opened, Duration::ZERO);
     }
-    let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
-    let runtime = runtime.map_err(|e| e.to_string())?;
-    runtime.block_on(serve(config, role, store, journal)).map_err(|e| e.to_string())
+    let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default())?;
+    Ok(runtime.block_on(serve(config, role, store, journal))?)
 }
 
 async fn serve(config: Config, role: Role, store: Store, journal: Journal<Folder>) -> io::Result<()> {
--- a/testing/fault-injection/src/shell/run/faults.rs
+++ b/testing/fault-injection/src/shell/run/faults.rs
@@ -2,12 +2,13 @@
 
 use super::harness::Lab;
 use super::DRAIN_TIME;
-use crate::deployment::{Drawn, Nanos};
+use crate::deployment::{chance, Drawn, Nanos, Stream};
 use crate::endpoint::End;
 use crate::error::RunError;
 use crate::history::{Event, Life};
 use crate::scenario::{FaultKind, LEADER, ROLES};
 use crate::shell::lists::lateness;
+use crate::shell::process::Process;
 use futures_util::future::join_all;
 use marblecroft_discovery::format::State;
 use std::fs;
@@ -57,114 +58,101 @@
             self.world.change_rules(|rules| rules.begin(number, fault));
             self.shut_out();
         }
+        if fault.kind.of_links() {
+            return;
+        }
         for &victim in &fault.victims {
-            let process = self.process(victim);
-            match (fault.kind, victim) {
-                (kind, _) if kind.of_links() => {}
-                (FaultKind::Stop, End::PayServer(i)) => self.servers[usize::from(i)].pause(true),
-                (FaultKind::Term, End::PayServer(i)) => {
-                    self.servers[usize::from(i)].drain();
-                    let (lab, for_good) = (self.clone(), fault.until.is_none());
-                    spawn_local(async move {
-                        lab.leave(i, State::Draining).await;
-                        if for_good {
-                            lab.world.sleep_until(lab.world.now() + DRAIN_TIME).await;
-                            lab.servers[usize::from(i)].kill();
-                            lab.leave(i, State::Deleted).await;
-                        }
-                    });
-                }
-                (_, End::PayServer(i)) => {
-                    self.servers[usize::from(i)].kill();
-                    self.world.record(Event::Lived { end: victim, life: Life::Ended });
-                    // One that returns soon is gone from no list.
-                    self.registered.borrow_mut()[usize::from(i)] = false;
-                    let soon = lateness(&self.world, false);
-                    if fault.until.is_none_or(|until| until > fault.at + soon) {
-                        let lab = self.clone();
-                        spawn_local(async move { lab.leave(i, State::Deleted).await });
-                    }
-                }
-                (FaultKind::Wipe, End::Counter) => {
-                    let mut rng =
-                        crate::deployment::chance(self.world.seed, crate::deployment::Stream::Counter);
-                    self.counts.iter().for_each(|counts| counts.core.borrow_mut().lose(1.0, &mut rng));
-                }
-                (FaultKind::Stop, End::Counter | End::ListService(_) | End::Candidate(_) | End::Cell(_))
-                    if process.is_none() =>
-                {
-                    self.world.change_rules(|rules| rules.stand_still(victim, true));
-                }
-                (kind, End::Counter | End::ListService(_) | End::Cell(_)) if process.is_none() => {
-                    self.doors(victim).iter().for_each(|door| door.set(false));
-                    if let (FaultKind::Wipe, End::Cell(i)) = (kind, victim) {
-                        self.cells.wipe(i);
-                    }
+            match (victim, self.process(victim)) {
+                (End::PayServer(server), _) => self.strike_pay_server(server, fault),
+                (_, Some(process)) => self.strike_process(&process, fault.kind),
+                (_, None) => self.strike_stand_in(victim, fault.kind),
+            }
+        }
+    }
+
+    fn strike_pay_server(self: &Rc<Self>, number: u16, fault: &Drawn) {
+        let server = &self.servers[usize::from(number)];
+        match fault.kind {
+            FaultKind::Stop => server.pause(true),
+            FaultKind::Term => {
+                server.drain();
+                spawn_local(self.clone().leave_after_drain(number, fault.until.is_none()));
+            }
+            _ => {
+                server.kill();
+                self.world.record(Event::Lived { end: End::PayServer(number), life: Life::Ended });
+                // One that returns soon is gone from no list.
+                self.registered.borrow_mut()[usize::from(number)] = false;
+                let noticed_after = lateness(&self.world, false);
+                if fault.until.is_none_or(|until| until > fault.at + noticed_after) {
+                    let lab = self.clone();
+                    spawn_local(async move { lab.leave(number, State::Deleted).await });
                 }
-                (kind, _) => {
-                    let Some(process) = process else { continue };
-                    match kind {
-                        FaultKind::Stop => process.pause(true),
-                        FaultKind::Term => process.terminate(),
-                        FaultKind::FullDisk => {
-                            process.expect_end(matches!(victim, End::Coordinator(_)));
-                            let filled = process.fill_disk(true);
-                            self.note(filled.map_err(|error| RunError::File(self.dir.clone(), error)));
-                        }
-                        _ => drop(spawn_local(async move { process.kill().await })),
-                    }
+            }
+        }
+    }
+
+    async fn leave_after_drain(self: Rc<Self>, number: u16, for_good: bool) {
+        self.leave(number, State::Draining).await;
+        if for_good {
+            self.world.sleep_until(self.world.now() + DRAIN_TIME).await;
+            self.servers[usize::from(number)].kill();
+            self.leave(number, State::Deleted).await;
+        }
+    }
+
+    fn strike_stand_in(&self, victim: End, kind: FaultKind) {
+        match (kind, victim) {
+            (FaultKind::Wipe, End::Counter) => {
+                let mut rng = chance(self.world.seed, Stream::Counter);
+                self.counts.iter().for_each(|counts| counts.core.borrow_mut().lose(1.0, &mut rng));
+            }
+            (FaultKind::Stop, _) => self.world.change_rules(|rules| rules.stand_still(victim, true)),
+            (kind, _) => {
+                self.doors(victim).iter().for_each(|door| door.set(false));
+                if let (FaultKind::Wipe, End::Cell(number)) = (kind, victim) {
+                    self.cells.wipe(number);
                 }
             }
         }
     }
 
+    fn strike_process(&self, process: &Rc<Process>, kind: FaultKind) {
+        match kind {
+            FaultKind::Stop => process.pause(true),
+            FaultKind::Term => process.terminate(),
+            FaultKind::FullDisk => {
+                process.expect_end(matches!(process.end, End::Coordinator(_)));
+                let filled = process.fill_disk(true);
+                self.note(filled.map_err(|error| RunError::File(self.dir.clone(), error)));
+            }
+            _ => {
+                let process = process.clone();
+                spawn_local(async move { process.kill().await });
+            }
+        }
+    }
+
     pub(super) async fn undo(self: &Rc<Self>, number: usize, fault: &Drawn) {
         if fault.kind.of_links() {
             self.world.change_rules(|rules| rules.end(number));
             self.shut_out();
         }
+        if fault.kind.of_links() {
+            return;
+        }
         let undone = fault.victims.iter().map(|&victim| async move {
-            let process = self.process(victim);
-            match (fault.kind, victim) {
-                (kind, _) if kind.of_links() => Ok(()),
-                (FaultKind::Stop, End::PayServer(i)) => {
-                    self.servers[usize::from(i)].pause(false);
+            match (victim, self.process(victim)) {
+                (End::PayServer(server), _) => {
+                    self.repair_pay_server(server, fault.kind);
                     Ok(())
                 }
-                (_, End::PayServer(i)) => {
-                    self.servers[usize::from(i)].kill();
-                    // Others go on meanwhile.
-                    let lab = self.clone();
-                    spawn_local(async move { lab.note(lab.return_server(i).await) });
-                    Ok(())
-                }
-                (_, End::Counter | End::ListService(_) | End::Candidate(_) | End::Cell(_))
-                    if process.is_none() =>
-                {
+                (_, Some(process)) => self.repair_process(&process, fault.kind).await,
+                (_, None) => {
                     self.doors(victim).iter().for_each(|door| door.set(true));
                     self.world.change_rules(|rules| rules.stand_still(victim, false));
                     Ok(())
                 }
-                (kind, _) => {
-                    let Some(process) = process else { return Ok(()) };
-                    match kind {
-                        FaultKind::Stop => {
-                            process.pause(false);
-                            Ok(())
-                        }
-                        // A coordinator that could not write has ended, as it must; whoever watches over it starts it again.
-                        FaultKind::FullDisk if !process.lives() => self.start_again(victim, false).await,
-                        FaultKind::FullDisk => {
-                            process.expect_end(false);
-                            let emptied = process.fill_disk(false);
-                            emptied.map_err(|error| RunError::File(self.dir.clone(), error))
-                        }
-                        kind => {
-                            process.gone().await;
-                            self.start_again(victim, kind == FaultKind::Wipe).await
-                        }
-                    }
-                }
             }
         });
         for done in join_all(undone).await {
@@ -172,6 +160,38 @@
         }
     }
 
+    fn repair_pay_server(self: &Rc<Self>, number: u16, kind: FaultKind) {
+        let server = &self.servers[usize::from(number)];
+        if kind == FaultKind::Stop {
+            server.pause(false);
+            return;
+        }
+        server.kill();
+        // The other victims are repaired meanwhile.
+        let lab = self.clone();
+        spawn_local(async move { lab.note(lab.return_server(number).await) });
+    }
+
+    async fn repair_process(&self, process: &Rc<Process>, kind: FaultKind) -> Result<(), RunError> {
+        match kind {
+            FaultKind::Stop => {
+                process.pause(false);
+                Ok(())
+            }
+            // A coordinator that could not write has ended, as it must; whoever watches over it starts it again.
+            FaultKind::FullDisk if !process.lives() => self.start_again(process.end, false).await,
+            FaultKind::FullDisk => {
+                process.expect_end(false);
+                let emptied = process.fill_disk(false);
+                emptied.map_err(|error| RunError::File(self.dir.clone(), error))
+            }
+            kind => {
+                process.gone().await;
+                self.start_again(process.end, kind == FaultKind::Wipe).await
+            }
+        }
+    }
+
     pub(super) async fn start_again(&self, victim: End, wiped: bool) -> Result<(), RunError> {
         if wiped {
             let folder = self.dir.join("tmp").join(victim.to_string());
