Say once what the change said twice: a test's disk, a log's reading, a fleet's processes

- chain-replication's two test files with failing disks share tests/common/disk.rs; their assertions are untouched.
- Wal::open reads by Wal::recover, which stood beside it.
- The simulated disk applies a write in one place for syncing, for losing power and for reading.
- The fault harness starts its three kinds of processes by one closure instead of three loops.
- The comment on a responsive head is wrapped.

--- a/control-plane/chain-replication/tests/cluster.rs
+++ b/control-plane/chain-replication/tests/cluster.rs
@@ -2,20 +2,21 @@
 //! partitioned in one direction or both, restart and join. What was acknowledged is in every later read, and no two views
 //! have the same number.
 
+#[path = "common/disk.rs"]
+#[allow(dead_code, reason = "not every test file uses all of the disk")]
+mod disk;
+
 use arbtest::arbitrary::Unstructured;
+use disk::{AppendFate, Contents, Disk};
 use marblecroft_chain_replication::agreement::{
     next_proposal_number, Outcome, Proposal, Step, VoteReply, VoteRequest,
 };
-use marblecroft_chain_replication::storage::Storage;
 use marblecroft_chain_replication::{
     AppendReply, Chain, Config, Member, Output, Replica, StateMachine, Status, ToSuccessor, View,
 };
 use marblecroft_rpc::{decode, encode};
-use marblecroft_wal::Recovered;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 type Draw<T> = arbtest::arbitrary::Result<T>;
@@ -46,71 +47,16 @@
     }
 }
 
-/// A disk on which every write is durable at once.
-#[derive(Clone, Default)]
-struct Disk(Arc<Mutex<DiskState>>);
-
-#[derive(Default)]
-struct DiskState {
-    checkpoint: Option<Vec<u8>>,
-    records: Vec<Vec<u8>>,
-    is_failing: bool,
-    /// A write has failed; nothing more is appended before a segment is started.
-    is_broken: bool,
+/// Lets all writes fail, or none. The first record of a failed write may be durable all the same.
+fn set_failing(disk: &Disk, is_failing: bool) {
+    disk.set_append(if is_failing { AppendFate::FailsKeeping(1) } else { AppendFate::Succeeds });
+    disk.refuse_segments(is_failing);
 }
 
-impl Disk {
-    fn recovered(&self) -> Recovered {
-        let state = self.0.lock().unwrap();
-        Recovered {
-            snapshot: state.checkpoint.clone(),
-            records: state.records.clone(),
-            ..Recovered::default()
-        }
-    }
-
-    fn wipe(&self) {
-        *self.0.lock().unwrap() = DiskState::default();
-    }
-
-    fn set_failing(&self, is_failing: bool) {
-        self.0.lock().unwrap().is_failing = is_failing;
-    }
-}
-
-impl Storage for Disk {
-    fn append(&mut self, records: &[&[u8]]) -> io::Result<()> {
-        let mut state = self.0.lock().unwrap();
-        if state.is_failing {
-            // A part of the write may be durable all the same.
-            state.records.extend(records.iter().take(1).map(|record| record.to_vec()));
-            state.is_broken = true;
-            return Err(io::Error::other("disk failure"));
-        }
-        state.records.extend(records.iter().map(|record| record.to_vec()));
-        Ok(())
-    }
-
-    fn start_segment(&mut self, checkpoint: &[u8]) -> io::Result<()> {
-        let mut state = self.0.lock().unwrap();
-        if state.is_failing {
-            return Err(io::Error::other("disk failure"));
-        }
-        *state = DiskState { checkpoint: Some(checkpoint.to_vec()), ..DiskState::default() };
-        Ok(())
-    }
-
-    fn recover(&mut self) -> io::Result<Recovered> {
-        Ok(self.recovered())
-    }
-
-    fn is_writable(&self) -> bool {
-        !self.0.lock().unwrap().is_broken
-    }
-
-    fn record_bytes(&self) -> u64 {
-        self.0.lock().unwrap().records.iter().map(|record| record.len() as u64).sum()
-    }
+/// Replaces a disk by an empty one.
+fn wipe(disk: &Disk) {
+    disk.set_contents(Contents::default());
+    set_failing(disk, false);
 }
 
 /// A running process.
@@ -196,8 +142,6 @@
 
     fn start(&mut self, node: u8, identity: u64, founding: Option<View>) {
         let disk = self.disks[usize::from(node)].clone();
-        // The next process starts a segment on a disk that failed under the last one.
-        disk.0.lock().unwrap().is_broken = false;
         let recovered = disk.recovered();
         let replica = Replica::open(disk, recovered, identity, founding).expect("opens");
         let config = Config {
@@ -317,7 +261,7 @@
         if self.process(node).is_none() {
             self.last_identity += 1;
             let identity = self.last_identity;
-            self.disks[usize::from(node)].set_failing(false);
+            set_failing(&self.disks[usize::from(node)], false);
             self.start(node, identity, None);
         }
     }
@@ -509,7 +453,7 @@
                 self.partitioned.insert((address(node), address(other)));
             }
             17 => self.partitioned.clear(),
-            18 => self.disks[usize::from(node)].set_failing(u.arbitrary()?),
+            18 => set_failing(&self.disks[usize::from(node)], u.arbitrary()?),
             19 if u.ratio(1, 4)? => self.power_failure(),
             20 => self.execute(address(node), Vec::new()),
             21 => {
@@ -569,7 +513,7 @@
         }
         self.stop(node);
         if loses_disk {
-            self.disks[usize::from(node)].wipe();
+            wipe(&self.disks[usize::from(node)]);
         }
         self.stopped = Some(node);
         if restarts_at_once {
@@ -581,7 +525,7 @@
     /// Ends all faults; the cluster acknowledges operations again within a bounded number of steps.
     fn assert_recovery(&mut self) {
         self.partitioned.clear();
-        self.disks.iter().for_each(|disk| disk.set_failing(false));
+        self.disks.iter().for_each(|disk| set_failing(disk, false));
         (0..NODES).for_each(|node| self.restart(node));
         for round in 0..40u8 {
             // The timers of every process go off; a member that is suspended reads its disk anew then.
@@ -672,7 +616,7 @@
     cluster.run_round(0);
     assert_eq!(cluster.acknowledged.len(), 1);
     cluster.stop(1);
-    cluster.disks[1].wipe();
+    wipe(&cluster.disks[1]);
     cluster.restart(1);
     cluster.assert_recovery();
 }
--- a/control-plane/chain-replication/tests/failed_writes.rs
+++ b/control-plane/chain-replication/tests/failed_writes.rs
@@ -2,115 +2,23 @@
 //! started a segment with what it found.
 
 mod common;
+#[path = "common/disk.rs"]
+mod disk;
 
 use common::Sum;
+use disk::{AppendFate, Disk};
 use marblecroft_chain_replication::agreement::{VoteReply, VoteRequest};
 use marblecroft_chain_replication::replica::AppendOutcome;
-use marblecroft_chain_replication::storage::Storage;
 use marblecroft_chain_replication::{
     Append, AppendReply, Chain, Config, Member, Output, Position, ProposalError, Replica, Round, View,
 };
 use marblecroft_rpc::{encode, Bytes};
 use marblecroft_wal::Recovered;
-use std::cell::RefCell;
-use std::io;
-use std::rc::Rc;
 use std::time::Duration;
 
-/// What becomes of an append.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-enum AppendFate {
-    #[default]
-    Succeeds,
-    /// An error is returned, and all records are there.
-    FailsDurable,
-    /// An error is returned, and no record is there.
-    FailsLost,
-}
-
-#[derive(Clone, Default)]
-struct Contents {
-    checkpoint: Option<Vec<u8>>,
-    records: Vec<Vec<u8>>,
-}
-
-#[derive(Default)]
-struct DiskState {
-    contents: Contents,
-    append: AppendFate,
-    refuses_segments: bool,
-    is_writable: bool,
-    reads: usize,
-}
-
-/// A disk whose failures are set by the test.
-#[derive(Clone, Default)]
-struct Disk(Rc<RefCell<DiskState>>);
-
-impl Disk {
-    fn set_append(&self, append: AppendFate) {
-        self.0.borrow_mut().append = append;
-    }
-
-    fn refuse_segments(&self, refuses: bool) {
-        self.0.borrow_mut().refuses_segments = refuses;
-    }
-
-    fn contents(&self) -> Contents {
-        self.0.borrow().contents.clone()
-    }
-
-    fn set_contents(&self, contents: Contents) {
-        self.0.borrow_mut().contents = contents;
-    }
-
-    fn reads(&self) -> usize {
-        self.0.borrow().reads
-    }
-}
-
-impl Storage for Disk {
-    fn append(&mut self, records: &[&[u8]]) -> io::Result<()> {
-        let mut state = self.0.borrow_mut();
-        assert!(state.is_writable, "append without a segment");
-        if state.append != AppendFate::FailsLost {
-            state.contents.records.extend(records.iter().map(|record| record.to_vec()));
-        }
-        if state.append == AppendFate::Succeeds {
-            return Ok(());
-        }
-        state.is_writable = false;
-        Err(io::Error::other("disk failure"))
-    }
-
-    fn start_segment(&mut self, checkpoint: &[u8]) -> io::Result<()> {
-        let mut state = self.0.borrow_mut();
-        if state.refuses_segments {
-            state.is_writable = false;
-            return Err(io::Error::other("disk failure"));
-        }
-        state.contents = Contents { checkpoint: Some(checkpoint.to_vec()), records: Vec::new() };
-        state.is_writable = true;
-        Ok(())
-    }
-
-    fn recover(&mut self) -> io::Result<Recovered> {
-        let mut state = self.0.borrow_mut();
-        state.reads += 1;
-        state.is_writable = false;
-        let Contents { checkpoint, records } = state.contents.clone();
-        Ok(Recovered { snapshot: checkpoint, records, ..Recovered::default() })
-    }
-
-    fn is_writable(&self) -> bool {
-        self.0.borrow().is_writable
-    }
-
-    fn record_bytes(&self) -> u64 {
-        0
-    }
-}
-
+/// An append that returns an error, and is there all the same, or is not.
+const DURABLE: AppendFate = AppendFate::FailsKeeping(usize::MAX);
+const LOST: AppendFate = AppendFate::FailsKeeping(0);
 const REPLACEMENT_IDENTITY: u64 = 99;
 
 fn member(identity: u64) -> Member {
@@ -162,7 +70,7 @@
 
 #[test]
 fn voter_grants_nothing_between_a_failed_write_and_reading_anew() {
-    for append in [AppendFate::FailsDurable, AppendFate::FailsLost] {
+    for append in [DURABLE, LOST] {
         let disk = Disk::default();
         let mut voter = open(&disk, 1);
         disk.set_append(append);
@@ -176,7 +84,7 @@
         voter.recover_storage(REPLACEMENT_IDENTITY).expect("reads");
         assert!(voter.is_complete() && voter.identity() == 1);
         let accepted = voter.vote().accepted.as_ref().map(|accepted| accepted.proposal_number);
-        assert_eq!(accepted, (append == AppendFate::FailsDurable).then_some(64), "{append:?}");
+        assert_eq!(accepted, (append == DURABLE).then_some(64), "{append:?}");
         assert_eq!(voter.handle_vote_request(&accept_request(128)), VoteReply::Accepted);
     }
 }
@@ -186,7 +94,7 @@
     let disk = Disk::default();
     let mut voter = open(&disk, 1);
     let durable = disk.contents();
-    disk.set_append(AppendFate::FailsDurable);
+    disk.set_append(DURABLE);
     disk.refuse_segments(true);
     assert_eq!(voter.handle_vote_request(&accept_request(64)), VoteReply::Rejected);
     assert!(voter.recover_storage(REPLACEMENT_IDENTITY).is_err());
@@ -199,10 +107,7 @@
     voter.recover_storage(REPLACEMENT_IDENTITY).expect("written");
     assert_eq!(disk.reads(), 1, "what is in memory is written without reading again");
     assert_eq!(voter.handle_vote_request(&accept_request(64)), VoteReply::Accepted);
-    let records = disk.contents();
-    let recovered =
-        Recovered { snapshot: records.checkpoint, records: records.records, ..Recovered::default() };
-    let restarted = Replica::<Sum, _>::open(Disk::default(), recovered, 7, None).expect("opens");
+    let restarted = Replica::<Sum, _>::open(Disk::default(), disk.recovered(), 7, None).expect("opens");
     assert_eq!(restarted.vote(), voter.vote());
 }
 
@@ -210,7 +115,7 @@
 fn suspended_member_rejects_entries_states_and_views() {
     let disk = Disk::default();
     let mut chain = open_chain(&disk, 2);
-    disk.set_append(AppendFate::FailsLost);
+    disk.set_append(LOST);
     disk.refuse_segments(true);
     let mut outputs = Vec::new();
     let append = first_append(vec![40]);
@@ -243,7 +148,7 @@
 
 #[test]
 fn head_whose_entry_may_be_stored_resumes_with_what_it_finds() {
-    for (append, sum) in [(AppendFate::FailsDurable, 40), (AppendFate::FailsLost, 0)] {
+    for (append, sum) in [(DURABLE, 40), (LOST, 0)] {
         let disk = Disk::default();
         let mut chain = open_chain(&disk, 1);
         chain.propose(7, 40, Duration::MAX);
@@ -278,7 +183,7 @@
     let mut replica = open(&disk, 1);
     let founded = disk.contents();
     replica.propose(&vec![40]).expect("stored");
-    disk.set_append(AppendFate::FailsLost);
+    disk.set_append(LOST);
     assert!(replica.propose(&vec![2]).is_err());
     disk.set_append(AppendFate::Succeeds);
     disk.set_contents(founded);
--- a/control-plane/core/src/coordinator/membership/head_replacement.rs
+++ b/control-plane/core/src/coordinator/membership/head_replacement.rs
@@ -9,8 +9,8 @@
 use marblecroft_chain_replication::Member;
 use std::time::Duration;
 
-/// A head that replies and works is left in place for this much longer: the fault may be another member's, which the head repairs by
-/// excluding that one (after 800 ms, and the vote that follows).
+/// A head that replies and works is left in place for this much longer: the fault may be another member's, which the head
+/// repairs by excluding that one (after 800 ms, and the vote that follows).
 const RESPONSIVE_HEAD_GRACE: Duration = Duration::from_millis(3500);
 
 impl Membership {
--- a/control-plane/simulation/src/disk.rs
+++ b/control-plane/simulation/src/disk.rs
@@ -13,15 +13,33 @@
     Segment(Vec<u8>),
 }
 
-#[derive(Default)]
-struct State {
+/// What a process reads.
+#[derive(Clone, Default)]
+struct Contents {
     snapshot: Option<Vec<u8>>,
     records: Vec<Vec<u8>>,
+    corrupted: bool,
+}
+
+impl Contents {
+    /// Applies a complete write. A segment replaces everything before it, damage included.
+    fn apply(&mut self, write: &Write) {
+        match write {
+            Write::Records(records) => self.records.extend(records.iter().cloned()),
+            Write::Segment(snapshot) => {
+                *self = Contents { snapshot: Some(snapshot.clone()), ..Contents::default() };
+            }
+        }
+    }
+}
+
+#[derive(Default)]
+struct State {
+    synced: Contents,
     unsynced: Vec<Write>,
     /// Whether writes fail.
     failing: bool,
     writable: bool,
-    corrupted: bool,
     /// Duration of a write and its sync.
     sync_time: Duration,
     /// Time that the writes since the last [`Disk::take_time`] have taken.
@@ -42,22 +60,14 @@
     pub fn recovered(&self) -> Recovered {
         let mut state = self.state();
         state.writable = false;
-        let mut recovered = Recovered {
-            snapshot: state.snapshot.clone(),
-            records: state.records.clone(),
+        let mut visible = state.synced.clone();
+        state.unsynced.iter().for_each(|write| visible.apply(write));
+        Recovered {
+            snapshot: visible.snapshot,
+            records: visible.records,
             torn_bytes: 0,
-            damaged: state.corrupted,
-        };
-        for write in &state.unsynced {
-            match write {
-                Write::Records(records) => recovered.records.extend(records.iter().cloned()),
-                Write::Segment(snapshot) => {
-                    recovered.snapshot = Some(snapshot.clone());
-                    recovered.records.clear();
-                }
-            }
+            damaged: visible.corrupted,
         }
-        recovered
     }
 
     /// Sets the duration of a write and its sync.
@@ -73,12 +83,13 @@
     /// Flips a bit of synced data: a random record and all after it can't be read, or the snapshot where there is no record.
     pub fn corrupt(&self, rng: &mut Rng) {
         let mut state = self.state();
-        state.corrupted = true;
-        if state.records.is_empty() {
-            state.snapshot = None;
+        let contents = &mut state.synced;
+        contents.corrupted = true;
+        if contents.records.is_empty() {
+            contents.snapshot = None;
         } else {
-            let kept = rng.usize(0..state.records.len());
-            state.records.truncate(kept);
+            let kept = rng.usize(0..contents.records.len());
+            contents.records.truncate(kept);
         }
     }
 
@@ -97,14 +108,7 @@
     pub fn complete(&self) {
         let mut state = self.state();
         for write in std::mem::take(&mut state.unsynced) {
-            match write {
-                Write::Records(records) => state.records.extend(records),
-                Write::Segment(snapshot) => {
-                    state.snapshot = Some(snapshot);
-                    state.records.clear();
-                    state.corrupted = false;
-                }
-            }
+            state.synced.apply(&write);
         }
     }
 
@@ -116,17 +120,16 @@
                 Write::Records(records) => {
                     let kept = rng.usize(0..=records.len());
                     let is_complete = kept == records.len();
-                    state.records.extend(records.into_iter().take(kept));
+                    state.synced.records.extend(records.into_iter().take(kept));
                     if !is_complete {
                         return;
                     }
                 }
-                Write::Segment(snapshot) => {
+                Write::Segment(_) => {
                     if rng.bool() {
                         return;
                     }
-                    state.snapshot = Some(snapshot);
-                    state.records.clear();
+                    state.synced.apply(&write);
                 }
             }
         }
@@ -173,7 +176,7 @@
 
     fn record_bytes(&self) -> u64 {
         // Segments turn over after a few hundred entries, so that every test sees it.
-        self.state().records.len() as u64 * RECORD_BYTES
+        self.state().synced.records.len() as u64 * RECORD_BYTES
     }
 }
 
--- a/control-plane/wal/src/wal.rs
+++ b/control-plane/wal/src/wal.rs
@@ -29,15 +29,15 @@
     /// Returns an error of the file system, or [`WalError::UnknownFormat`].
     pub fn open(directory: &Path) -> io::Result<(Wal, Recovered)> {
         fs::create_dir_all(directory)?;
-        let recovery = recover(directory)?;
-        let wal = Wal {
+        let mut wal = Wal {
             directory: directory.to_owned(),
-            segment_number: recovery.newest_segment,
+            segment_number: 0,
             file: None,
             segment_bytes: 0,
             snapshot_bytes: 0,
         };
-        Ok((wal, recovery.recovered))
+        let recovered = wal.recover()?;
+        Ok((wal, recovered))
     }
 
     /// Reads the contents anew, as [`Wal::open`] does. Records can be appended after [`Wal::start_segment`].
--- a/quota-gateway/coordination/src/client/calls.rs
+++ b/quota-gateway/coordination/src/client/calls.rs
@@ -69,7 +69,6 @@
         only_in: Option<u64>,
         within: Duration,
     ) -> Result<Executed, CallError> {
-        let deadline = Instant::now() + within;
         let incarnation = self.0.incarnation.borrow().clone();
         let number = incarnation.next_number();
         // The first number must come first: the service knows a client by it.
@@ -82,7 +81,7 @@
             }
             Ok(incarnation.request(number, &op))
         };
-        let reply = self.call_leader(request, ATTEMPT_TIMEOUT, deadline).await;
+        let reply = self.call_leader(request, ATTEMPT_TIMEOUT, Instant::now() + within).await;
         incarnation.pending.borrow_mut().remove(&number);
         let reply = reply?;
         let Response::Outcome(outcome) = reply.response else {
--- a/quota-gateway/coordination/src/service/connections.rs
+++ b/quota-gateway/coordination/src/service/connections.rs
@@ -1,5 +1,6 @@
 //! Connections: requests are read, and replies written, each with the number of its request.
 
+use super::reads::MAX_WATCH_WAIT;
 use super::response_budget::{Reservation, ResponseBudget};
 use super::Service;
 use crate::env::Ends;
@@ -19,8 +20,6 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause after a connection could not be accepted.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
-/// Requests that were read are answered for this long after their connection has ended; longer than a watch waits.
-const CLOSING_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// A reply, and the room that it takes until it is written.
 pub(super) struct Reply {
@@ -106,8 +105,8 @@
             });
         }
         drop(replies);
-        // What was requested is still answered, as long as somebody reads it.
-        drop(timeout(CLOSING_TIMEOUT, writer).await);
+        // What was requested is still answered, as long as somebody reads it; nothing takes longer than a watch.
+        drop(timeout(MAX_WATCH_WAIT, writer).await);
     }
 
     fn on_invalid_frame(&self, reason: &'static str) {
--- a/quota-gateway/coordination/src/service/reads.rs
+++ b/quota-gateway/coordination/src/service/reads.rs
@@ -8,7 +8,7 @@
 use tokio::time::{timeout_at, Instant};
 
 /// The longest that a watch waits.
-const MAX_WATCH_WAIT: Duration = Duration::from_secs(60);
+pub(super) const MAX_WATCH_WAIT: Duration = Duration::from_secs(60);
 /// Bytes of values, or of lists, in one reply.
 pub(super) const MAX_VALUES_BYTES: usize = MAX_PAYLOAD_BYTES / 2;
 /// Bytes of changes in one reply.
--- a/testing/fault-injection/src/shell/run/setup.rs
+++ b/testing/fault-injection/src/shell/run/setup.rs
@@ -37,27 +37,18 @@
         }
     };
     let log = |end: End| spec.dir.join("logs").join(format!("{end}.log"));
-    let mut lists = Vec::new();
-    for i in 0..scenario.fleet.list_service as u16 {
-        let end = End::ListService(i);
-        let process =
-            Process::new(world, end, spec.harness.clone(), program("marblecroft-discovery")?, log(end));
-        lists.push((process, Door::open(world, end).map_err(RunError::Listen)?));
-    }
-    let mut coordinators = Vec::new();
-    for i in 0..scenario.fleet.coordinators as u16 {
-        let end = End::Coordinator(i);
-        let program = program("marblecroft-coordination-server")?;
-        let process = Process::new(world, end, spec.harness.clone(), program, log(end));
-        coordinators.push((process, Door::open(world, end).map_err(RunError::Listen)?));
-    }
-    let mut stewards = Vec::new();
-    for i in 0..scenario.fleet.stewards as u16 {
-        let end = End::Steward(i);
-        let process =
-            Process::new(world, end, spec.harness.clone(), program("marblecroft-controller")?, log(end));
-        stewards.push((process, Door::open(world, end).map_err(RunError::Listen)?));
-    }
+    let processes = |count: u32, end_of: fn(u16) -> End, name: &str| {
+        let new_process = |number| {
+            let end = end_of(number);
+            let process = Process::new(world, end, spec.harness.clone(), program(name)?, log(end));
+            Ok((process, Door::open(world, end).map_err(RunError::Listen)?))
+        };
+        (0..count as u16).map(new_process).collect::<Result<Vec<_>, RunError>>()
+    };
+    let lists = processes(scenario.fleet.list_service, End::ListService, "marblecroft-discovery")?;
+    let coordinators =
+        processes(scenario.fleet.coordinators, End::Coordinator, "marblecroft-coordination-server")?;
+    let stewards = processes(scenario.fleet.stewards, End::Steward, "marblecroft-controller")?;
     let platform =
         if lists.is_empty() { Some(Platform::new(world).map_err(RunError::Listen)?) } else { None };
     let gateway = match &scenario.fleet.program {
