--- a/review/1/case.rs
+++ b/review/3/case.rs
@@ -33,8 +33,8 @@
 fn main() {
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     limit_time();
-    let record = Record::create(Path::new("review/1/record.txt"));
-    record.say(&format!("case 1, trouble: {trouble}"));
+    let record = Record::create(Path::new("review/3/record.txt"));
+    record.say(&format!("case 3, trouble: {trouble}"));
     let (network, base) = free_network(EDGES, STORES);
     let runs = Arc::new(Mutex::new(Vec::new()));
     let behaviour =
