Gateway: answer 404 only by a configuration within config_apply_ms

Callers on a route that was added while a gateway was suspended or disconnected got 404 from it. Clients do not repeat a request after 404, so a live request or a batch job was lost to its client.

A route that the gateway does not know was taken for one that does not exist.

Change: 404 requires that the configuration was confirmed as the newest one within bounds.config_apply_ms. Otherwise the answer is 503 with Retry-After, at once: the request has not run, and another gateway may know the route.

--- a/common/settings/src/settings.rs
+++ b/common/settings/src/settings.rs
@@ -55,7 +55,7 @@
 /// Time limits and an overage limit that the operator sets. Each key ends in the unit of its value, except
 /// `bounds.quota_overage`, which has none.
 ///
-/// No process uses `contact`, `ack_timeout`, `catch_up`, `drain_timeout`, `config_apply`, `cancel` and
+/// No process uses `contact`, `ack_timeout`, `catch_up`, `drain_timeout`, `cancel` and
 /// `settle` yet; they are parsed so that an invalid value is rejected.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Bounds {
--- a/data-plane/gateway/src/server/dispatch.rs
+++ b/data-plane/gateway/src/server/dispatch.rs
@@ -8,6 +8,7 @@
 use hyper::{Response, StatusCode};
 use marblecroft_configuration::{Configuration, RouteType};
 use std::rc::Rc;
+use std::time::Instant;
 
 /// `Retry-After` while the gateway cannot execute a request because something that it needs has not
 /// arrived yet, in seconds.
@@ -30,6 +31,17 @@
     }
 }
 
+/// Returns the reply to a request without a route. Clients do not repeat a request after 404, so that
+/// status requires a configuration that is not older than the bound for changes to take effect.
+fn no_route(gateway: &Gateway) -> Response<ResponseBody> {
+    let oldest_allowed = Instant::now().checked_sub(gateway.settings.bounds.config_apply);
+    let snapshot = gateway.state.snapshot();
+    if oldest_allowed.is_none_or(|time| snapshot.is_confirmed_since(time)) {
+        return local_reply(StatusCode::NOT_FOUND, "no route");
+    }
+    not_ready("no route is known, and the configuration may be outdated")
+}
+
 fn not_ready(text: &str) -> Response<ResponseBody> {
     rejection(StatusCode::SERVICE_UNAVAILABLE, text, RETRY_AFTER_NOT_READY)
 }
@@ -40,7 +52,7 @@
     request: BufferedRequest,
 ) -> Response<ResponseBody> {
     let Some(route) = configuration.route(request.host(), request.uri.path()).cloned() else {
-        return local_reply(StatusCode::NOT_FOUND, "no route");
+        return no_route(gateway);
     };
     if route.route_type == RouteType::Batch {
         batch_api::submit(gateway, &route, request).await
--- a/data-plane/gateway/tests/process/outdated_configuration.rs
+++ b/data-plane/gateway/tests/process/outdated_configuration.rs
@@ -36,7 +36,7 @@
 struct Fleet {
     coordinator: Coordinator,
     stores: Stores,
-    _gateway: Gateway,
+    gateway: Gateway,
 }
 
 impl Fleet {
@@ -46,7 +46,7 @@
         let coordinator = Coordinator::start(stores.address(), vec![server.entry()]);
         coordinator.set_configuration(&configuration(1, &[("/old/", 1)]));
         let gateway = Gateway::start(&coordinator);
-        Fleet { coordinator, stores, _gateway: gateway }
+        Fleet { coordinator, stores, gateway }
     }
 
     /// Leaves the gateway with the configuration that it has.
@@ -113,3 +113,22 @@
     assert_eq!(fleet.stores.outcome(&item), None);
     assert_eq!(report.capacity, 0, "the report that releases the item must not request it again");
 }
+
+// 404 is final for a client, so a gateway that may not know the newest routes must not send it.
+#[test]
+fn a_request_on_an_unknown_route_is_rejected_with_404_only_by_a_gateway_in_contact() {
+    let fleet = Fleet::start(&completing_server());
+    let post = || {
+        let headers = [("Host", HOST), ("X-Request-Id", "request")];
+        fleet.gateway.post("/new/1", &headers, "").expect("a response")
+    };
+    assert_eq!(post().status(), 404);
+    fleet.disconnect();
+    let rejected = wait_for("a configuration that is too old", || {
+        let response = post();
+        (response.status() != 404).then_some(response)
+    });
+    assert_eq!((rejected.status(), rejected.header("retry-after").is_some()), (503, true));
+    fleet.coordinator.reconnect();
+    wait_for("a new confirmation", || (post().status() == 404).then_some(()));
+}
--- a/data-plane/gateway/tests/process/stand_ins/gateway.rs
+++ b/data-plane/gateway/tests/process/stand_ins/gateway.rs
@@ -2,7 +2,7 @@
 
 use super::{unused_ip, wait_for, Coordinator, Response, INTERNAL_PORT};
 use std::fs;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 
@@ -12,6 +12,7 @@
 
 /// A running gateway; ended when it is dropped.
 pub struct Gateway {
+    ip: Ipv4Addr,
     folder: PathBuf,
     process: Child,
 }
@@ -39,7 +40,7 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("starts");
-        let gateway = Gateway { folder, process };
+        let gateway = Gateway { ip, folder, process };
         wait_for("readiness", || {
             let address = SocketAddr::from((ip, READINESS_PORT));
             let response = Response::fetch(address, "GET", "/-/ready", &[("Host", "gateway")], "").ok()?;
@@ -47,6 +48,12 @@
         });
         gateway
     }
+
+    /// Sends a client's request.
+    pub fn post(&self, path: &str, headers: &[(&str, &str)], body: &str) -> std::io::Result<Response> {
+        let address = SocketAddr::from((self.ip, CLIENT_PORT));
+        Response::fetch(address, "POST", path, headers, body)
+    }
 }
 
 impl Drop for Gateway {
--- a/data-plane/gateway/tests/process/stand_ins/http.rs
+++ b/data-plane/gateway/tests/process/stand_ins/http.rs
@@ -89,6 +89,11 @@
         let status = self.0.start_line.split(' ').nth(1).and_then(|status| status.parse().ok());
         status.expect("a status line")
     }
+
+    /// Returns the value of a header; its name is in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        header(&self.0.headers, name)
+    }
 }
 
 /// Returns the bytes of a response with a body.
