--- a/data-plane/gateway/tests/process/outdated_configuration.rs
+++ b/data-plane/gateway/tests/process/outdated_configuration.rs
@@ -1,20 +1,31 @@
 //! A gateway whose configuration is older than that of others, because it was suspended or disconnected,
 //! must not decide by it what cannot be revised.
 
-use crate::stand_ins::{response, wait_for, Coordinator, Gateway, ModelServer, Stores};
+use crate::stand_ins::{response, wait_for, Coordinator, Gateway, ModelServer, Response, Stores};
 use marblecroft_batch_state::ItemOutcome;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 
 const HOST: &str = "pay.example";
 
-/// A configuration with one batch route for each pair of path prefix and maximum number of failures.
-fn configuration(generation: u64, routes: &[(&str, u32)]) -> String {
-    let route = |(prefix, attempts): &(&str, u32)| {
+/// A batch route; its name is its prefix.
+#[derive(Clone, Copy)]
+struct BatchRoute {
+    prefix: &'static str,
+    attempts: u32,
+    max_queued_tokens: u64,
+}
+
+const OLD_ROUTE: BatchRoute = BatchRoute { prefix: "/old/", attempts: 1, max_queued_tokens: 1000 };
+const NEW_ROUTE: BatchRoute = BatchRoute { prefix: "/new/", ..OLD_ROUTE };
+
+fn configuration(generation: u64, routes: &[BatchRoute]) -> String {
+    let route = |route: &BatchRoute| {
+        let BatchRoute { prefix, attempts, max_queued_tokens } = route;
         format!(
             r#"{{"name":"{prefix}","hostname":"{HOST}","path_prefix":"{prefix}","route_type":"batch",
             "timeout_ms":8000,"target_latency_ms":400,"priority":2,"backend":"service","attempts":{attempts},
-            "completion_target_ms":8000,"retention_s":600,"max_queued_tokens":0}}"#
+            "completion_target_ms":8000,"retention_s":600,"max_queued_tokens":{max_queued_tokens}}}"#
         )
     };
     let routes: Vec<String> = routes.iter().map(route).collect();
@@ -44,7 +55,7 @@
     fn start(server: &ModelServer) -> Fleet {
         let stores = Stores::start();
         let coordinator = Coordinator::start(stores.address(), vec![server.entry()]);
-        coordinator.set_configuration(&configuration(1, &[("/old/", 1)]));
+        coordinator.set_configuration(&configuration(1, &[OLD_ROUTE]));
         let gateway = Gateway::start(&coordinator);
         Fleet { coordinator, stores, gateway }
     }
@@ -68,7 +79,7 @@
     fleet.disconnect();
     let item = fleet.stores.grant("job", HOST, "/new/1");
     fleet.stores.wait_until_started(&item);
-    fleet.coordinator.set_configuration(&configuration(2, &[("/old/", 1), ("/new/", 1)]));
+    fleet.coordinator.set_configuration(&configuration(2, &[OLD_ROUTE, NEW_ROUTE]));
     fleet.coordinator.reconnect();
     assert_eq!(fleet.stores.wait_for_outcome(&item), ItemOutcome::Completed("text".to_owned()));
 }
@@ -90,7 +101,7 @@
     let item = fleet.stores.grant("job", HOST, "/old/1");
     wait_for("the failure", || (requests.load(Ordering::Relaxed) > 0).then_some(()));
     fleet.stores.wait_until_started(&item);
-    fleet.coordinator.set_configuration(&configuration(2, &[("/old/", 2)]));
+    fleet.coordinator.set_configuration(&configuration(2, &[BatchRoute { attempts: 2, ..OLD_ROUTE }]));
     fleet.coordinator.reconnect();
     assert_eq!(fleet.stores.wait_for_outcome(&item), ItemOutcome::Completed("text".to_owned()));
 }
@@ -114,21 +125,52 @@
     assert_eq!(report.capacity, 0, "the report that releases the item must not request it again");
 }
 
+/// Sends a job with one item.
+fn submit(fleet: &Fleet, prefix: &str) -> Response {
+    let path = format!("{prefix}job");
+    let body = format!(r#"{{"requests":[{{"id":"item","path":"{path}","body":"","tokens":10}}]}}"#);
+    let headers = [("Host", HOST), ("X-Request-Id", "job")];
+    fleet.gateway.post(&path, &headers, &body).expect("a response")
+}
+
+/// Disconnects the gateway and waits until its configuration is older than `bounds.config_apply_ms`. Returns
+/// the first response on an unknown route that is not 404.
+fn disconnect_until_outdated(fleet: &Fleet) -> Response {
+    fleet.disconnect();
+    wait_for("an outdated configuration", || {
+        let response = submit(fleet, "/new/");
+        (response.status() != 404).then_some(response)
+    })
+}
+
 // 404 is final for a client, so a gateway that may not know the newest routes must not send it.
 #[test]
 fn a_request_on_an_unknown_route_is_rejected_with_404_only_by_a_gateway_in_contact() {
     let fleet = Fleet::start(&completing_server());
-    let post = || {
-        let headers = [("Host", HOST), ("X-Request-Id", "request")];
-        fleet.gateway.post("/new/1", &headers, "").expect("a response")
-    };
-    assert_eq!(post().status(), 404);
-    fleet.disconnect();
-    let rejected = wait_for("a configuration that is too old", || {
-        let response = post();
-        (response.status() != 404).then_some(response)
-    });
+    assert_eq!(submit(&fleet, "/new/").status(), 404);
+    let rejected = disconnect_until_outdated(&fleet);
     assert_eq!((rejected.status(), rejected.header("retry-after").is_some()), (503, true));
     fleet.coordinator.reconnect();
-    wait_for("a new confirmation", || (post().status() == 404).then_some(()));
+    wait_for("a new confirmation", || (submit(&fleet, "/new/").status() == 404).then_some(()));
+}
+
+// A gateway that thawed accepted a job under the quota of the configuration that it had before.
+#[test]
+fn a_job_is_not_accepted_under_an_outdated_quota_by_a_gateway_that_is_back_in_contact() {
+    let fleet = Fleet::start(&completing_server());
+    disconnect_until_outdated(&fleet);
+    let lower = BatchRoute { max_queued_tokens: 100, ..OLD_ROUTE };
+    fleet.coordinator.set_configuration(&configuration(2, &[lower]));
+    fleet.coordinator.reconnect();
+    assert_eq!(submit(&fleet, "/old/").status(), 202);
+    let quotas: Vec<u64> = fleet.stores.jobs().iter().map(|job| job.max_queued_tokens).collect();
+    assert_eq!(quotas, [100]);
+}
+
+// Batch jobs must not depend on the coordinators.
+#[test]
+fn a_disconnected_gateway_accepts_jobs_on_the_routes_that_it_knows() {
+    let fleet = Fleet::start(&completing_server());
+    disconnect_until_outdated(&fleet);
+    assert_eq!(submit(&fleet, "/old/").status(), 202);
 }
--- a/data-plane/gateway/tests/process/stand_ins/stores.rs
+++ b/data-plane/gateway/tests/process/stand_ins/stores.rs
@@ -2,7 +2,7 @@
 //! the gateway.
 
 use super::{internal_address, unused_ip, wait_for};
-use marblecroft_batch_state::{Item, ItemId, ItemOutcome};
+use marblecroft_batch_state::{Item, ItemId, ItemOutcome, NewJob};
 use marblecroft_protocol::store::{GrantedItem, StoreReply, StoreRequest, WorkReply, WorkRequest};
 use marblecroft_rpc::{http, serve, Bytes, Service};
 use std::net::SocketAddr;
@@ -16,6 +16,7 @@
 struct State {
     queued: Vec<GrantedItem>,
     reports: Vec<WorkRequest>,
+    jobs: Vec<NewJob>,
 }
 
 /// The stand-in.
@@ -43,6 +44,11 @@
         self.state.lock().expect("not poisoned")
     }
 
+    /// Returns the jobs that gateways have submitted.
+    pub fn jobs(&self) -> Vec<NewJob> {
+        self.state().jobs.clone()
+    }
+
     /// Grants an item of a job with one item to the gateway, with its next request.
     pub fn grant(&self, job: &str, host: &str, path: &str) -> ItemId {
         let id = ItemId { job: job.to_owned(), item: 0 };
@@ -109,7 +115,10 @@
             let reply = WorkReply { granted, lease_ms: LEASE_MS, gateway_count: 1, ..WorkReply::default() };
             Some(StoreReply::Work(reply))
         }
-        StoreRequest::SubmitJob(_) => Some(StoreReply::Accepted),
+        StoreRequest::SubmitJob(job) => {
+            state.lock().expect("not poisoned").jobs.push(job);
+            Some(StoreReply::Accepted)
+        }
         _ => None,
     }
 }
