Gateway: an encoded response is not the result of a batch item

Live requests had the check already.

Change: the exception for batch items is gone from the classification. The item is tried again.

Test replaced: an_encoded_success_is_untrusted_for_live_requests_only asserted the exception. It now asserts that an encoded success is untrusted for both.

--- a/data-plane/gateway/src/upstream/classify.rs
+++ b/data-plane/gateway/src/upstream/classify.rs
@@ -9,7 +9,7 @@
 //! | `X-Request-Id` of another request, or none on a reused connection | `Untrusted` |
 //! | declined: has `X-Not-Executed` or status 421 | `NotExecuted` |
 //! | no `X-Response-Signature` | `Untrusted` |
-//! | live requests only: 2xx with `Content-Encoding` | `Untrusted` |
+//! | 2xx with `Content-Encoding` | `Untrusted` |
 //! | 2xx | `Success` |
 //! | any other status | `Error` |
 //!
@@ -18,8 +18,8 @@
 //! says nothing about that request, which the server may be executing. On a new connection there is
 //! no earlier request, and `X-Request-Id` may be missing.
 //!
-//! Status 421 means that another incarnation is at the address. Events of an encoded response cannot
-//! be read.
+//! Status 421 means that another incarnation is at the address. Requests ask for no encoding, so an
+//! encoded body is not the server's.
 //!
 //! Live requests and batch items differ in these points, which are the fields of
 //! [`ResponsePolicy`]:
@@ -27,7 +27,6 @@
 //! | | live request ([`ResponsePolicy::LIVE`]) | batch item ([`ResponsePolicy::BATCH`]) |
 //! |---|---|---|
 //! | declined with 2xx | classified like any 2xx | not executed |
-//! | 2xx with `Content-Encoding` | untrusted | success |
 //! | server health, declined | full | full |
 //! | server health, untrusted | by status: 5xx failed, else succeeded | not recorded |
 //! | server health, otherwise | by status: 5xx failed, else succeeded | succeeded |
@@ -92,25 +91,17 @@
 pub struct ResponsePolicy {
     /// Whether `X-Not-Executed` is also accepted with a 2xx status.
     pub accepts_decline_with_success: bool,
-    /// Whether a 2xx response with `Content-Encoding` is a success.
-    pub accepts_encoded: bool,
     /// How responses affect the server's recorded health.
     pub health: HealthRule,
 }
 
 impl ResponsePolicy {
     /// Policy for live requests.
-    pub const LIVE: ResponsePolicy = ResponsePolicy {
-        accepts_decline_with_success: false,
-        accepts_encoded: false,
-        health: HealthRule::ByStatus,
-    };
+    pub const LIVE: ResponsePolicy =
+        ResponsePolicy { accepts_decline_with_success: false, health: HealthRule::ByStatus };
     /// Policy for items of batch jobs.
-    pub const BATCH: ResponsePolicy = ResponsePolicy {
-        accepts_decline_with_success: true,
-        accepts_encoded: true,
-        health: HealthRule::AnyTrusted,
-    };
+    pub const BATCH: ResponsePolicy =
+        ResponsePolicy { accepts_decline_with_success: true, health: HealthRule::AnyTrusted };
 
     /// Classifies the response to `request`. Also returns the outcome to record for the server's
     /// health, if any.
@@ -124,7 +115,7 @@
         if is_for_request && head.is_declined() && (self.accepts_decline_with_success || !is_success) {
             return (ResponseClass::NotExecuted, Some(ServerOutcome::Full));
         }
-        let is_readable = self.accepts_encoded || !is_success || !head.has(&CONTENT_ENCODING);
+        let is_readable = !is_success || !head.has(&CONTENT_ENCODING);
         let class = if !is_for_request || !head.has(&SIGNATURE) || !is_readable {
             ResponseClass::Untrusted
         } else if is_success {
--- a/data-plane/gateway/src/upstream/classify/tests.rs
+++ b/data-plane/gateway/src/upstream/classify/tests.rs
@@ -130,10 +130,10 @@
 }
 
 #[test]
-fn an_encoded_success_is_untrusted_for_live_requests_only() {
+fn an_encoded_success_is_untrusted() {
     let untrusted = (ResponseClass::Untrusted, Some(ServerOutcome::Succeeded));
     assert_eq!(live(200, &[SIGNED, ENCODED]), untrusted);
-    assert_eq!(batch(200, &[SIGNED, ENCODED]), SUCCESS);
+    assert_eq!(batch(200, &[SIGNED, ENCODED]), (ResponseClass::Untrusted, None));
     assert_eq!(live(404, &[SIGNED, ENCODED]), (error(404), Some(ServerOutcome::Succeeded)));
 }
 
