--- a/control-plane/simulation/src/checker/configuration.rs
+++ b/control-plane/simulation/src/checker/configuration.rs
@@ -3,6 +3,10 @@
 //! Generations only increase, so the newer of two configurations is the one with the higher generation. A
 //! read that is sent after an acknowledgement must return that generation or a higher one, and no client may
 //! see a configuration that was rejected or never sent.
+//!
+//! A pull that is sent after any gateway has pulled a generation must not leave its gateway with a lower one,
+//! also if that generation was never acknowledged: a gateway decides by it whether a route that another
+//! gateway has accepted a job on still exists.
 
 use super::change::{configuration, Change, ConfigurationChange, Routes};
 use super::findings::Findings;
@@ -16,6 +20,13 @@
     generation: u64,
 }
 
+/// The highest generation that any gateway had pulled by a time.
+#[derive(Clone, Copy, Debug)]
+struct HighestPull {
+    completed_at: Duration,
+    generation: u64,
+}
+
 /// The history of the configuration.
 #[derive(Default)]
 pub struct ConfigurationChecker {
@@ -25,6 +36,8 @@
     reads: Vec<Read>,
     /// Generation of each gateway's configuration, by gateway number.
     gateways: BTreeMap<usize, u64>,
+    /// The increases of the highest generation that any gateway had pulled, in the order of time.
+    highest_pulls: Vec<HighestPull>,
 }
 
 impl ConfigurationChecker {
@@ -164,8 +177,8 @@
         self.reads.push(Read { completed_at: now, generation });
     }
 
-    /// Handles a fresh reply to a gateway's pull, after which `body` is the gateway's configuration.
-    pub fn on_pulled(&mut self, gateway: usize, sent_at: Duration, body: Option<&str>) {
+    /// Handles a fresh reply at `now` to a gateway's pull, after which `body` is the gateway's configuration.
+    pub fn on_pulled(&mut self, gateway: usize, sent_at: Duration, now: Duration, body: Option<&str>) {
         self.findings.count("pulled");
         let generation = match body {
             Some(body) => self.check_in_force(body, "pulled").unwrap_or(u64::MAX),
@@ -177,10 +190,25 @@
                 "pull of generation {generation}, sent at {sent_at:?} after {newest} was acknowledged"
             ));
         }
+        self.check_highest_pull(gateway, sent_at, now, generation);
         let before = self.gateways.insert(gateway, generation).unwrap_or(0);
         if generation < before {
             self.findings
                 .report(format!("gateway {gateway} went back from generation {before} to {generation}"));
         }
     }
+
+    /// Compares a pull with those that any gateway had completed before it was sent.
+    fn check_highest_pull(&mut self, gateway: usize, sent_at: Duration, now: Duration, generation: u64) {
+        let earlier = self.highest_pulls.iter().rev().find(|pull| pull.completed_at <= sent_at);
+        if let Some(earlier) = earlier.filter(|earlier| generation < earlier.generation) {
+            self.findings.report(format!(
+                "gateway {gateway} has generation {generation} by a pull sent at {sent_at:?}, after {earlier:?}"
+            ));
+        }
+        let highest = self.highest_pulls.last().map_or(0, |pull| pull.generation);
+        if generation != u64::MAX && generation > highest {
+            self.highest_pulls.push(HighestPull { completed_at: now, generation });
+        }
+    }
 }
--- a/control-plane/simulation/src/clients/gateway.rs
+++ b/control-plane/simulation/src/clients/gateway.rs
@@ -75,7 +75,8 @@
         {
             self.known_versions.store_view_number = view.number;
         }
-        cluster.checker.configuration.on_pulled(number, self.sent_at, self.configuration.as_deref());
+        let (now, configuration) = (cluster.now, self.configuration.as_deref());
+        cluster.checker.configuration.on_pulled(number, self.sent_at, now, configuration);
         if cluster.rng.u32(0..60) == 0 {
             self.coordinator = cluster.rng.usize(0..16);
         }
