Simulation: one history of seen generations for reads and pulls

Both use HighestObservations now. What is checked stays; one guard is gone that left a pull of an unknown configuration, which is a violation anyway, out of the history.

--- a/control-plane/simulation/src/checker/configuration.rs
+++ b/control-plane/simulation/src/checker/configuration.rs
@@ -13,18 +13,29 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// A read that returned a configuration.
+/// A generation that a client has seen.
 #[derive(Clone, Copy, Debug)]
-struct Read {
+struct Observation {
     completed_at: Duration,
     generation: u64,
 }
 
-/// The highest generation that any gateway had pulled by a time.
-#[derive(Clone, Copy, Debug)]
-struct HighestPull {
-    completed_at: Duration,
-    generation: u64,
+/// The increases of the highest generation that any of several clients has seen, in the order of time.
+#[derive(Default)]
+struct HighestObservations(Vec<Observation>);
+
+impl HighestObservations {
+    /// Returns the highest generation that had been seen at or before `by`.
+    fn highest_by(&self, by: Duration) -> Option<Observation> {
+        self.0.iter().rev().find(|observation| observation.completed_at <= by).copied()
+    }
+
+    /// Records that a client has seen a generation. The times of calls do not decrease.
+    fn record(&mut self, completed_at: Duration, generation: u64) {
+        if self.0.last().is_none_or(|highest| generation > highest.generation) {
+            self.0.push(Observation { completed_at, generation });
+        }
+    }
 }
 
 /// The history of the configuration.
@@ -33,11 +44,10 @@
     findings: Findings,
     /// By number, in the order in which operators recorded them.
     changes: Vec<ConfigurationChange>,
-    reads: Vec<Read>,
+    reads: HighestObservations,
     /// Generation of each gateway's configuration, by gateway number.
     gateways: BTreeMap<usize, u64>,
-    /// The increases of the highest generation that any gateway had pulled, in the order of time.
-    highest_pulls: Vec<HighestPull>,
+    pulls: HighestObservations,
 }
 
 impl ConfigurationChecker {
@@ -164,17 +174,14 @@
                 "read of generation {generation}, sent at {sent_at:?} after {newest} was acknowledged"
             ));
         }
-        let seen = self
-            .reads
-            .iter()
-            .filter(|read| read.completed_at <= sent_at)
-            .map(|read| read.generation)
-            .max()
-            .unwrap_or(0);
-        if generation < seen {
-            self.findings.report(format!("read of generation {generation} after an earlier read of {seen}"));
+        let seen = self.reads.highest_by(sent_at);
+        if let Some(seen) = seen.filter(|seen| generation < seen.generation) {
+            self.findings.report(format!(
+                "read of generation {generation} after an earlier read of {}",
+                seen.generation
+            ));
         }
-        self.reads.push(Read { completed_at: now, generation });
+        self.reads.record(now, generation);
     }
 
     /// Handles a fresh reply at `now` to a gateway's pull, after which `body` is the gateway's configuration.
@@ -190,25 +197,17 @@
                 "pull of generation {generation}, sent at {sent_at:?} after {newest} was acknowledged"
             ));
         }
-        self.check_highest_pull(gateway, sent_at, now, generation);
+        let seen = self.pulls.highest_by(sent_at);
+        if let Some(seen) = seen.filter(|seen| generation < seen.generation) {
+            self.findings.report(format!(
+                "gateway {gateway} has generation {generation} by a pull sent at {sent_at:?}, after {seen:?}"
+            ));
+        }
         let before = self.gateways.insert(gateway, generation).unwrap_or(0);
         if generation < before {
             self.findings
                 .report(format!("gateway {gateway} went back from generation {before} to {generation}"));
         }
-    }
-
-    /// Compares a pull with those that any gateway had completed before it was sent.
-    fn check_highest_pull(&mut self, gateway: usize, sent_at: Duration, now: Duration, generation: u64) {
-        let earlier = self.highest_pulls.iter().rev().find(|pull| pull.completed_at <= sent_at);
-        if let Some(earlier) = earlier.filter(|earlier| generation < earlier.generation) {
-            self.findings.report(format!(
-                "gateway {gateway} has generation {generation} by a pull sent at {sent_at:?}, after {earlier:?}"
-            ));
-        }
-        let highest = self.highest_pulls.last().map_or(0, |pull| pull.generation);
-        if generation != u64::MAX && generation > highest {
-            self.highest_pulls.push(HighestPull { completed_at: now, generation });
-        }
+        self.pulls.record(now, generation);
     }
 }
