Gateway: establish once to which request a response belongs

classify_and_record and classify each compared the ids of a response. The first passes the result on now.

--- a/data-plane/gateway/src/upstream/classify.rs
+++ b/data-plane/gateway/src/upstream/classify.rs
@@ -103,15 +103,14 @@
     pub const BATCH: ResponsePolicy =
         ResponsePolicy { accepts_decline_with_success: true, health: HealthRule::AnyTrusted };
 
-    /// Classifies the response to `request`. Also returns the outcome to record for the server's
-    /// health, if any.
+    /// Classifies a response. `is_for_request` tells whether it is certainly the response to the
+    /// request. Also returns the outcome to record for the server's health, if any.
     fn classify(
         &self,
         head: &ResponseHead<'_>,
-        request: &SentRequest<'_>,
+        is_for_request: bool,
     ) -> (ResponseClass, Option<ServerOutcome>) {
         let is_success = head.status.is_success();
-        let is_for_request = head.is_for(request);
         if is_for_request && head.is_declined() && (self.accepts_decline_with_success || !is_success) {
             return (ResponseClass::NotExecuted, Some(ServerOutcome::Full));
         }
@@ -142,7 +141,8 @@
         now: Timestamp,
     ) -> ResponseClass {
         let head = ResponseHead { status: head.status, headers: &head.headers };
-        if !head.is_for(request) {
+        let is_for_request = head.is_for(request);
+        if !is_for_request {
             debug!(
                 id = request.id,
                 response_id = head.text(&REQUEST_ID),
@@ -153,7 +153,7 @@
         } else if let Some(load) = head.text(&SERVER_LOAD).and_then(ReportedLoad::parse) {
             balancer.on_reported_load(server_id, load, now);
         }
-        let (class, outcome) = self.classify(&head, request);
+        let (class, outcome) = self.classify(&head, is_for_request);
         if let Some(outcome) = outcome {
             balancer.on_outcome(server_id, outcome, now);
         }
--- a/data-plane/gateway/src/upstream/classify/tests.rs
+++ b/data-plane/gateway/src/upstream/classify/tests.rs
@@ -39,7 +39,8 @@
     headers: &[(&str, &str)],
 ) -> Classified {
     let parts = head(status, headers);
-    policy.classify(&super::ResponseHead { status: parts.status, headers: &parts.headers }, &request)
+    let head = super::ResponseHead { status: parts.status, headers: &parts.headers };
+    policy.classify(&head, head.is_for(&request))
 }
 
 fn live(status: u16, headers: &[(&str, &str)]) -> Classified {
