Gateway tests: bursts beyond full servers that send responses twice, against any build

The process tests forced one order of one repeated rejection. These run three gateways and nine servers with slots and queues under bursts, with copies in the place of the next response or 20 ms later, and report what broke in the form of the operators' record. MARBLECROFT_TEST_SEEDS sets the number of seeds, MARBLECROFT_DATA_PLANE_PROGRAM another build of the gateway.

--- a/data-plane/gateway/tests/process/main.rs
+++ b/data-plane/gateway/tests/process/main.rs
@@ -4,4 +4,5 @@
 mod encoded_responses;
 mod late_responses;
 mod outdated_configuration;
+mod repeated_responses;
 mod stand_ins;
--- /dev/null
+++ b/data-plane/gateway/tests/process/repeated_responses.rs
@@ -0,0 +1,172 @@
+//! Gateways of three zones under bursts of more requests than their servers take, while servers send responses
+//! twice. A rejection must only ever count for the request that it belongs to.
+
+use crate::stand_ins::{
+    configuration, wait_for, Behavior, Coordinator, Gateway, HandledRequest, QueueingServer, Record,
+    Repetition, Stores, HOST,
+};
+use std::collections::HashMap;
+use std::fmt::Write as _;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+/// A route of streams that may not be resumed, so that each request may run once.
+const ROUTE: &str = r#"{"name":"route","hostname":"pay.example","path_prefix":"/query/",
+    "route_type":"streaming","timeout_ms":2000,"target_latency_ms":300,"priority":0,"backend":"service",
+    "attempts":1,"resumable":false}"#;
+const ZONES: [&str; 3] = ["a", "b", "c"];
+const SERVERS_PER_ZONE: usize = 3;
+/// More than twice what the servers take at once.
+const REQUESTS_PER_BURST: usize = 24;
+const BURSTS_PER_SEED: u64 = 16;
+/// Bounds of the pause between two bursts.
+const MIN_PAUSE_MS: u64 = 40;
+const MAX_PAUSE_MS: u64 = 160;
+/// Number of seeds if [`SEEDS_VARIABLE`] does not state one.
+const DEFAULT_SEEDS: u64 = 2;
+/// Sets the number of seeds, for long runs by hand.
+const SEEDS_VARIABLE: &str = "MARBLECROFT_TEST_SEEDS";
+/// Statuses that promise that a request has not run and will not run.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+/// A request as its client saw it.
+struct Sent {
+    id: String,
+    zone: &'static str,
+    /// `None` if the connection ended without a complete response.
+    status: Option<u16>,
+}
+
+struct Fleet {
+    servers: Vec<QueueingServer>,
+    gateways: Vec<Gateway>,
+    record: Record,
+    _coordinator: Coordinator,
+    _stores: Stores,
+}
+
+impl Fleet {
+    fn start(behavior: Behavior) -> Fleet {
+        let record = Record::default();
+        let start_server = |index: usize| {
+            let zone = ZONES[index % ZONES.len()];
+            QueueingServer::start(&format!("server-{index}"), zone, behavior, &record)
+        };
+        let servers: Vec<QueueingServer> = (0..ZONES.len() * SERVERS_PER_ZONE).map(start_server).collect();
+        let stores = Stores::start();
+        let entries = servers.iter().map(QueueingServer::entry).collect();
+        let coordinator = Coordinator::start(stores.address(), entries);
+        coordinator.set_configuration(&configuration(1, &[ROUTE.to_owned()]));
+        let gateways = ZONES.iter().map(|zone| Gateway::start_in_zone(zone, &coordinator)).collect();
+        Fleet { servers, gateways, record, _coordinator: coordinator, _stores: stores }
+    }
+
+    /// Sends the bursts of one seed, and waits until nothing runs any more.
+    fn send_bursts(&self, seed: u64) -> Vec<Sent> {
+        let sent = Mutex::new(Vec::new());
+        thread::scope(|scope| {
+            for burst in 0..BURSTS_PER_SEED {
+                for (gateway, zone) in self.gateways.iter().zip(ZONES) {
+                    for index in 0..REQUESTS_PER_BURST {
+                        let (sent, id) = (&sent, format!("{seed}-{burst}-{zone}-{index}"));
+                        scope.spawn(move || {
+                            let status = send(gateway, &id);
+                            sent.lock().expect("not poisoned").push(Sent { id, zone, status });
+                        });
+                    }
+                }
+                thread::sleep(pause(seed, burst));
+            }
+        });
+        wait_for("idle servers", || self.servers.iter().all(QueueingServer::is_idle).then_some(()));
+        sent.into_inner().expect("not poisoned")
+    }
+}
+
+fn send(gateway: &Gateway, id: &str) -> Option<u16> {
+    let headers = [("Host", HOST), ("X-Request-Id", id), ("X-Timeout-Ms", "2000")];
+    gateway.post("/query/1", &headers, "body").ok().map(|response| response.status())
+}
+
+/// Returns the pause after a burst (Weyl sequence).
+fn pause(seed: u64, burst: u64) -> Duration {
+    let step = (seed * BURSTS_PER_SEED + burst).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+    Duration::from_millis(MIN_PAUSE_MS + step % (MAX_PAUSE_MS - MIN_PAUSE_MS))
+}
+
+/// What broke the rules, as lines like those of the operators' record.
+#[derive(Default)]
+struct Violations {
+    refused: usize,
+    twice: usize,
+    lines: String,
+}
+
+impl Violations {
+    fn find(sent: &[Sent], handled: &[HandledRequest]) -> Violations {
+        let mut attempts: HashMap<&str, Vec<&HandledRequest>> = HashMap::new();
+        for request in handled {
+            attempts.entry(&request.id).or_default().push(request);
+        }
+        let mut violations = Violations::default();
+        for Sent { id, zone, status } in sent {
+            let attempts = attempts.get(id.as_str()).map_or(&[][..], Vec::as_slice);
+            let executions = attempts.iter().filter(|attempt| attempt.executed).count();
+            let is_refused = executions > 0 && status.is_some_and(|status| PROMISES.contains(&status));
+            let is_twice = executions > 1;
+            violations.refused += usize::from(is_refused);
+            violations.twice += usize::from(is_twice);
+            if is_refused || is_twice {
+                let _ = write!(violations.lines, "\nran {executions} times: {id} at zone {zone}, {status:?}");
+                for HandledRequest { server, zone, executed, preceded_by, .. } in attempts {
+                    let _ = write!(violations.lines, " [{server} {zone} ran {executed} after {preceded_by:?}]");
+                }
+            }
+        }
+        violations
+    }
+}
+
+/// Runs the seeds, and asserts for each that no request that may run once ran twice, and that none ran that
+/// was answered with a promise.
+fn assert_that_rejections_are_not_mixed_up(repetition: Repetition) {
+    let behavior = Behavior { slots: 2, queue: 1, repetition, repeats_one_in: 3 };
+    let fleet = Fleet::start(behavior);
+    let seeds = std::env::var(SEEDS_VARIABLE).ok().and_then(|seeds| seeds.parse().ok());
+    let mut violations = Vec::new();
+    let mut misplaced = 0;
+    for seed in 1..=seeds.unwrap_or(DEFAULT_SEEDS) {
+        let sent = fleet.send_bursts(seed);
+        let handled = std::mem::take(&mut *fleet.record.lock().expect("not poisoned"));
+        let found = Violations::find(&sent, &handled);
+        misplaced += handled.iter().filter(|request| request.executed && request.preceded_by.is_some()).count();
+        let rejected = handled.iter().filter(|request| !request.executed).count();
+        println!(
+            "seed {seed}: {} requests, {} handled, {rejected} rejected; REFUSED {}, TWICE {}",
+            sent.len(),
+            handled.len(),
+            found.refused,
+            found.twice
+        );
+        if !found.lines.is_empty() {
+            violations.push(format!("seed {seed}: {} REFUSED, {} TWICE{}", found.refused, found.twice, found.lines));
+        }
+    }
+    if matches!(repetition, Repetition::BeforeNextResponse) {
+        assert!(misplaced > 0, "no request ran behind a copy of another response");
+    }
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
+// Hundreds of requests ran twice, or ran although they were answered 503 (docs/incidents/ran-though-rejected.md).
+#[test]
+fn a_rejection_in_the_place_of_another_response_does_not_count_for_its_request() {
+    assert_that_rejections_are_not_mixed_up(Repetition::BeforeNextResponse);
+}
+
+// The same with copies that arrive when the connection may be idle, in use or reused.
+#[test]
+fn a_rejection_that_arrives_again_later_does_not_count_for_another_request() {
+    assert_that_rejections_are_not_mixed_up(Repetition::AfterDelay(Duration::from_millis(20)));
+}
--- a/data-plane/gateway/tests/process/stand_ins/gateway.rs
+++ b/data-plane/gateway/tests/process/stand_ins/gateway.rs
@@ -1,6 +1,7 @@
 //! The gateway process under test.
 
 use super::{unused_ip, wait_for, Coordinator, Response, INTERNAL_PORT};
+use std::ffi::OsString;
 use std::fs;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -10,6 +11,13 @@
 const READINESS_PORT: u16 = 8167;
 const OPERATOR_PORT: u16 = 8168;
 
+/// Names another build of the program, to run these tests against it.
+const PROGRAM_VARIABLE: &str = "MARBLECROFT_DATA_PLANE_PROGRAM";
+
+fn program() -> OsString {
+    std::env::var_os(PROGRAM_VARIABLE).unwrap_or_else(|| env!("CARGO_BIN_EXE_marblecroft-data-plane").into())
+}
+
 /// A running gateway; ended when it is dropped.
 pub struct Gateway {
     ip: Ipv4Addr,
@@ -18,21 +26,27 @@
 }
 
 impl Gateway {
-    /// Starts a gateway that pulls from `coordinator`, and waits until it is ready.
+    /// Starts a gateway in zone `a` that pulls from `coordinator`, and waits until it is ready.
     pub fn start(coordinator: &Coordinator) -> Gateway {
+        Gateway::start_in_zone("a", coordinator)
+    }
+
+    /// Starts a gateway that pulls from `coordinator`, and waits until it is ready.
+    pub fn start_in_zone(zone: &str, coordinator: &Coordinator) -> Gateway {
         let ip = unused_ip();
         let folder = std::env::temp_dir().join(format!("marblecroft-gateway-{ip}"));
         fs::create_dir_all(&folder).expect("a folder");
         let path = folder.join("settings.conf");
         let settings = format!(
-            "node_name=edge-a-1\nip={ip}\nzone=a\nzones.a=r\nbind_addresses.front={ip}:{CLIENT_PORT}\n\
+            "node_name=edge-{zone}-1\nip={ip}\nzone={zone}\nzones.{zone}=r\n\
+             bind_addresses.front={ip}:{CLIENT_PORT}\n\
              bind_addresses.readiness={ip}:{READINESS_PORT}\n\
              ephemeral_ports={INTERNAL_PORT},{}\nseeds={}:{OPERATOR_PORT}\n",
             INTERNAL_PORT + 15,
             coordinator.ip()
         );
         fs::write(&path, settings).expect("written");
-        let process = Command::new(env!("CARGO_BIN_EXE_marblecroft-data-plane"))
+        let process = Command::new(program())
             .arg("gateway")
             .env("MARBLECROFT_CONFIG", path)
             .stdin(Stdio::null())
--- a/data-plane/gateway/tests/process/stand_ins/http.rs
+++ b/data-plane/gateway/tests/process/stand_ins/http.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
+/// What follows the bytes of each chunk.
+const CHUNK_END: &str = "\r\n";
 
 /// A message with its first line.
 struct Message {
@@ -13,8 +15,8 @@
     headers: Vec<(String, String)>,
 }
 
-/// Reads a message, whose body is discarded; `None` if the peer has closed the connection. A body without a
-/// length is not read.
+/// Reads a message, whose body is discarded; `None` if the peer has closed the connection. A body that ends
+/// with its connection is not read.
 fn read_message(reader: &mut impl BufRead) -> io::Result<Option<Message>> {
     let mut start_line = String::new();
     if reader.read_line(&mut start_line)? == 0 {
@@ -33,14 +35,33 @@
     }
     let length = header(&headers, "content-length").and_then(|length| length.parse().ok());
     if let Some(length) = length {
-        let body_length = io::copy(&mut reader.take(length), &mut io::sink())?;
-        if body_length < length {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
+        discard(reader, length)?;
+    } else if header(&headers, "transfer-encoding") == Some("chunked") {
+        discard_chunks(reader)?;
     }
     Ok(Some(Message { start_line: start_line.trim_end().to_owned(), headers }))
 }
 
+fn discard(reader: &mut impl BufRead, length: u64) -> io::Result<()> {
+    let discarded = io::copy(&mut reader.take(length), &mut io::sink())?;
+    if discarded < length {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    Ok(())
+}
+
+fn discard_chunks(reader: &mut impl BufRead) -> io::Result<()> {
+    loop {
+        let mut size = String::new();
+        reader.read_line(&mut size)?;
+        let size = u64::from_str_radix(size.trim_end(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
+        discard(reader, size + CHUNK_END.len() as u64)?;
+        if size == 0 {
+            return Ok(());
+        }
+    }
+}
+
 fn header<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
     headers.iter().find(|header| header.0 == name).map(|header| header.1.as_str())
 }
--- a/data-plane/gateway/tests/process/stand_ins/mod.rs
+++ b/data-plane/gateway/tests/process/stand_ins/mod.rs
@@ -5,6 +5,7 @@
 mod gateway;
 mod http;
 mod model_server;
+mod queueing_server;
 mod stores;
 
 pub use configuration::{configuration, BatchRoute, HOST};
@@ -12,6 +13,7 @@
 pub use gateway::Gateway;
 pub use http::{completed, response, signed_headers, Response};
 pub use model_server::ModelServer;
+pub use queueing_server::{Behavior, HandledRequest, QueueingServer, Record, Repetition};
 pub use stores::Stores;
 
 use std::net::{IpAddr, Ipv4Addr};
--- /dev/null
+++ b/data-plane/gateway/tests/process/stand_ins/queueing_server.rs
@@ -0,0 +1,220 @@
+//! Stand-in for a model server with slots and a queue, which rejects requests when both are full. In trouble
+//! it sends some of its responses twice.
+
+use super::http::{completed, response, Request};
+use super::unused_ip;
+use marblecroft_protocol::servers::Server;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::io::{self, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Shortest run of a request; the longest is [`RUN_TIME_SPREAD`] longer.
+const MIN_RUN_TIME: Duration = Duration::from_millis(10);
+const RUN_TIME_SPREAD: Duration = Duration::from_millis(30);
+/// Time limit of a request that does not state one.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// When the second copy of a response is sent.
+#[derive(Clone, Copy, Debug)]
+pub enum Repetition {
+    /// When the next request on the connection has been read, in the place of its response.
+    BeforeNextResponse,
+    /// At this time after the response, whatever happens on the connection.
+    AfterDelay(Duration),
+}
+
+/// How a server behaves.
+#[derive(Clone, Copy, Debug)]
+pub struct Behavior {
+    /// Requests that run at the same time.
+    pub slots: u32,
+    /// Requests that wait for a slot before further ones are rejected.
+    pub queue: u32,
+    /// When second copies are sent.
+    pub repetition: Repetition,
+    /// One response in this many is sent twice.
+    pub repeats_one_in: u64,
+}
+
+/// What a server did with a request.
+#[derive(Clone, Debug)]
+pub struct HandledRequest {
+    pub id: String,
+    pub server: String,
+    pub zone: String,
+    pub executed: bool,
+    /// Id of the request whose response was sent a second time in the place of this one's.
+    pub preceded_by: Option<String>,
+}
+
+/// All requests that the servers have handled, in the order in which they were read.
+pub type Record = Arc<Mutex<Vec<HandledRequest>>>;
+
+/// The stand-in.
+pub struct QueueingServer(Arc<State>);
+
+struct State {
+    id: String,
+    zone: String,
+    address: SocketAddr,
+    behavior: Behavior,
+    record: Record,
+    places: Mutex<Places>,
+    slot_released: Condvar,
+}
+
+#[derive(Default)]
+struct Places {
+    running: u32,
+    waiting: u32,
+}
+
+/// A response that is to be sent a second time.
+struct Copy {
+    of: String,
+    bytes: Vec<u8>,
+}
+
+impl QueueingServer {
+    /// Starts a server that adds the requests that it handles to `record`.
+    pub fn start(id: &str, zone: &str, behavior: Behavior, record: &Record) -> QueueingServer {
+        let listener = TcpListener::bind((unused_ip(), 0)).expect("a port is free");
+        let state = Arc::new(State {
+            id: id.to_owned(),
+            zone: zone.to_owned(),
+            address: listener.local_addr().expect("bound"),
+            behavior,
+            record: record.clone(),
+            places: Mutex::default(),
+            slot_released: Condvar::new(),
+        });
+        let accepting = state.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let state = accepting.clone();
+                // A connection that the gateway closes is no fault.
+                thread::spawn(move || drop(state.serve_connection(stream)));
+            }
+        });
+        QueueingServer(state)
+    }
+
+    /// Returns the server's entry in the list of servers.
+    pub fn entry(&self) -> Server {
+        Server {
+            id: self.0.id.clone(),
+            backend: "service".to_owned(),
+            address: self.0.address,
+            zone: self.0.zone.clone(),
+            slots: self.0.behavior.slots,
+            draining: false,
+            warmup_left_ms: 0,
+        }
+    }
+
+    /// Returns whether no request runs or waits.
+    pub fn is_idle(&self) -> bool {
+        let places = self.0.places();
+        places.running == 0 && places.waiting == 0
+    }
+}
+
+impl State {
+    fn places(&self) -> MutexGuard<'_, Places> {
+        self.places.lock().expect("not poisoned")
+    }
+
+    fn serve_connection(&self, stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let writer = Arc::new(Mutex::new(stream.try_clone()?));
+        let write = |bytes: &[u8]| writer.lock().expect("not poisoned").write_all(bytes);
+        let mut reader = BufReader::new(stream);
+        let mut copy: Option<Copy> = None;
+        while let Some(request) = Request::read(&mut reader)? {
+            let id = request.header("x-request-id").unwrap_or_default();
+            let preceding = copy.take();
+            if let Some(copy) = &preceding {
+                write(&copy.bytes)?;
+            }
+            let bytes = self.handle(&request, id, preceding.map(|copy| copy.of));
+            write(&bytes)?;
+            if hash(id) % self.behavior.repeats_one_in != 0 {
+                continue;
+            }
+            match self.behavior.repetition {
+                Repetition::BeforeNextResponse => copy = Some(Copy { of: id.to_owned(), bytes }),
+                Repetition::AfterDelay(delay) => {
+                    let writer = writer.clone();
+                    thread::spawn(move || {
+                        thread::sleep(delay);
+                        // Fails if the gateway has closed the connection.
+                        let _ = writer.lock().expect("not poisoned").write_all(&bytes);
+                    });
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Runs or rejects a request. Returns the response.
+    fn handle(&self, request: &Request, id: &str, preceded_by: Option<String>) -> Vec<u8> {
+        let executed = self.take_slot(deadline(request));
+        let handled = HandledRequest {
+            id: id.to_owned(),
+            server: self.id.clone(),
+            zone: self.zone.clone(),
+            executed,
+            preceded_by,
+        };
+        self.record.lock().expect("not poisoned").push(handled);
+        if !executed {
+            return response(503, &[("X-Not-Executed", "1"), ("X-Request-Id", id)], "");
+        }
+        thread::sleep(run_time(id));
+        self.places().running -= 1;
+        self.slot_released.notify_one();
+        completed(id)
+    }
+
+    /// Waits for a slot. Returns whether the request has one: the queue is not full, and the deadline has not
+    /// passed in it.
+    fn take_slot(&self, deadline: Instant) -> bool {
+        let mut places = self.places();
+        if places.running >= self.behavior.slots {
+            if places.waiting >= self.behavior.queue {
+                return false;
+            }
+            places.waiting += 1;
+            let time_left = deadline.saturating_duration_since(Instant::now());
+            let is_full = |places: &mut Places| places.running >= self.behavior.slots;
+            let waited = self.slot_released.wait_timeout_while(places, time_left, is_full);
+            let (guard, result) = waited.expect("not poisoned");
+            places = guard;
+            places.waiting -= 1;
+            if result.timed_out() {
+                return false;
+            }
+        }
+        places.running += 1;
+        true
+    }
+}
+
+fn deadline(request: &Request) -> Instant {
+    let stated = request.header("x-timeout-ms").and_then(|ms| ms.parse().ok()).map(Duration::from_millis);
+    Instant::now() + stated.unwrap_or(DEFAULT_TIMEOUT)
+}
+
+/// Returns how long a request runs; the same at every server.
+fn run_time(id: &str) -> Duration {
+    MIN_RUN_TIME + RUN_TIME_SPREAD.mul_f64((hash(id) % 1000) as f64 / 1000.0)
+}
+
+fn hash(id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
