Gateway: log how attempts end, to tell why a request was sent again or rejected

Every 10 s and at the end of a drain a line 'attempts at servers' counts them, also without the flag: a rejection of another request is counted apart from one of this request.

Nothing is decided by it. The new test of the log passes; tests and linter of the crate pass.

--- a/data-plane/gateway/src/batch_runner/item.rs
+++ b/data-plane/gateway/src/batch_runner/item.rs
@@ -15,7 +15,8 @@
 use crate::headers::{strip_hop_by_hop, LAST_EVENT_ID, PREFIX_HASH, REQUEST_ID, TOKEN_USAGE};
 use crate::in_flight::InFlightAttempt;
 use crate::upstream::{
-    EventStream, ResponseClass, ResponsePolicy, SentRequest, StreamStep, UpstreamRequest, UpstreamResponse,
+    AttemptError, EventStream, ResponseClass, ResponsePolicy, SentRequest, StreamStep, UpstreamRequest,
+    UpstreamResponse,
 };
 use hyper::body::Bytes;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, HOST};
@@ -228,10 +229,11 @@
         let in_flight = InFlightAttempt::new(&gateway, server, &self.prompt);
         let server = in_flight.server();
         let may_send = || gateway.balancer.borrow().is_available(&server.id);
-        match timeout(FRAME_TIMEOUT, gateway.pool.send(server, &request, may_send)).await {
-            Ok(Ok(response)) => self.on_response(server, response).await,
-            Ok(Err(_)) | Err(_) => {
-                gateway.on_attempt_failed(server);
+        let sending = timeout(FRAME_TIMEOUT, gateway.pool.send(server, &request, may_send));
+        match sending.await.unwrap_or(Err(AttemptError::MayHaveExecuted)) {
+            Ok(response) => self.on_response(server, response).await,
+            Err(cause) => {
+                gateway.on_attempt_failed(&self.granted.item.id, server, cause);
                 AttemptOutcome::Retry
             }
         }
@@ -242,13 +244,8 @@
         let UpstreamResponse { response, connection, is_reused } = response;
         let max_connections = self.gateway.max_connections_of(&server.backend);
         let (head, body) = response.into_parts();
-        let class = ResponsePolicy::BATCH.classify_and_record(
-            &head,
-            &SentRequest { id: &self.granted.item.id, on_reused_connection: is_reused },
-            &server.id,
-            &mut self.gateway.balancer.borrow_mut(),
-            self.gateway.now(),
-        );
+        let sent = SentRequest { id: &self.granted.item.id, on_reused_connection: is_reused };
+        let class = self.gateway.on_response(ResponsePolicy::BATCH, &head, &sent, server);
         match class {
             ResponseClass::Success => {}
             ResponseClass::Error(StatusCode::INTERNAL_SERVER_ERROR) => return AttemptOutcome::Failed,
--- a/data-plane/gateway/src/flags.rs
+++ b/data-plane/gateway/src/flags.rs
@@ -7,6 +7,8 @@
         cmd gateway {
             /// Overrides a placement constant, as NAME=VALUE (for experiments).
             repeated --tune setting: String
+            /// Logs the events of single requests too.
+            optional --log-requests
         }
         /// Checks whether the settings are valid.
         cmd check {}
--- a/data-plane/gateway/src/gateway.rs
+++ b/data-plane/gateway/src/gateway.rs
@@ -4,7 +4,9 @@
 use crate::peers::PeerGateways;
 use crate::state::State;
 use crate::stores::StoreClient;
-use crate::upstream::ConnectionPool;
+use crate::upstream::{AttemptCounters, AttemptEnd, AttemptError, ConnectionPool, ResponsePolicy};
+use crate::upstream::{ResponseClass, SentRequest};
+use hyper::http::response::Parts;
 use marblecroft_configuration::Route;
 use marblecroft_protocol::servers::Server;
 use marblecroft_routing::admission::Admission;
@@ -16,6 +18,7 @@
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
 use std::time::Instant;
+use tracing::debug;
 
 /// Shared state of a gateway's tasks. All tasks run on one thread, so cells are used instead of
 /// locks. No cell may stay borrowed across an `await`.
@@ -29,6 +32,8 @@
     pub stores: StoreClient,
     /// Idle connections to model servers.
     pub pool: ConnectionPool,
+    /// Counts how attempts at model servers ended.
+    pub attempts: AttemptCounters,
     /// The servers and their load; chooses the server for a request.
     pub balancer: RefCell<LoadBalancer>,
     /// The other gateways of the zone.
@@ -54,6 +59,7 @@
         Gateway {
             stores: StoreClient::new(state.clone()),
             pool: ConnectionPool::default(),
+            attempts: AttemptCounters::default(),
             balancer: RefCell::new(LoadBalancer::new(&settings.zone, seed, tuning.clone())),
             peers: PeerGateways::default(),
             tuning,
@@ -99,9 +105,26 @@
         self.balancer.borrow_mut().on_outcome(&server.id, outcome, self.now());
     }
 
-    /// Records that an attempt got no response. Also closes the idle connections to the server,
-    /// because they cannot be trusted either.
-    pub fn on_attempt_failed(&self, server: &Server) {
+    /// Classifies the head of a response, and records what it says about the server.
+    pub fn on_response(
+        &self,
+        policy: ResponsePolicy,
+        head: &Parts,
+        request: &SentRequest<'_>,
+        server: &Server,
+    ) -> ResponseClass {
+        let mut balancer = self.balancer.borrow_mut();
+        policy.classify_and_record(head, request, &server.id, &self.attempts, &mut balancer, self.now())
+    }
+
+    /// Records that an attempt of the request `id` got no response. Also closes the idle connections
+    /// to the server, because they cannot be trusted either.
+    pub fn on_attempt_failed(&self, id: &str, server: &Server, cause: AttemptError) {
+        debug!(id, server = %server.id, ?cause, "no response from server");
+        self.attempts.record(match cause {
+            AttemptError::NotSent => AttemptEnd::NotSent,
+            AttemptError::MayHaveExecuted => AttemptEnd::NoResponse,
+        });
         self.record_outcome(server, ServerOutcome::Failed);
         self.pool.close_idle_to(server);
     }
--- a/data-plane/gateway/src/live/attempt.rs
+++ b/data-plane/gateway/src/live/attempt.rs
@@ -16,7 +16,6 @@
 use marblecroft_routing::balance::PlacementRequest;
 use std::time::Duration;
 use tokio::time::{timeout, timeout_at, Instant};
-use tracing::debug;
 
 /// If a server sends nothing for this time, its machine may have failed. If the route allows
 /// another attempt, the request continues at another server.
@@ -83,21 +82,17 @@
         let head_timeout = if self.may_retry_after_this() { FRAME_TIMEOUT.min(time_left) } else { time_left };
         let may_send = || self.gateway.balancer.borrow().is_available(&attempt.server().id);
         let sending = self.gateway.pool.send(attempt.server(), &self.request, may_send);
-        match timeout(head_timeout, sending).await {
-            Ok(Ok(response)) => Some(self.on_response(attempt, response).await),
-            Ok(Err(cause)) => {
-                debug!(id = %self.id, server = %attempt.server().id, ?cause, "attempt failed");
-                self.gateway.on_attempt_failed(attempt.server());
-                Some(match cause {
+        let sent = timeout(head_timeout, sending).await.unwrap_or(Err(AttemptError::MayHaveExecuted));
+        Some(match sent {
+            Ok(response) => self.on_response(attempt, response).await,
+            Err(cause) => {
+                self.gateway.on_attempt_failed(&self.id, attempt.server(), cause);
+                match cause {
                     AttemptError::NotSent => AttemptOutcome::NotExecuted,
                     AttemptError::MayHaveExecuted => AttemptOutcome::MayHaveExecuted,
-                })
+                }
             }
-            Err(_) => {
-                self.gateway.on_attempt_failed(attempt.server());
-                Some(AttemptOutcome::MayHaveExecuted)
-            }
-        }
+        })
     }
 
     /// Sets the headers that differ between attempts.
@@ -114,13 +109,8 @@
     async fn on_response(&self, attempt: LiveAttempt, response: UpstreamResponse) -> AttemptOutcome {
         let UpstreamResponse { response, connection, is_reused } = response;
         let (head, body) = response.into_parts();
-        let class = ResponsePolicy::LIVE.classify_and_record(
-            &head,
-            &SentRequest { id: &self.id, on_reused_connection: is_reused },
-            &attempt.server().id,
-            &mut self.gateway.balancer.borrow_mut(),
-            self.gateway.now(),
-        );
+        let sent = SentRequest { id: &self.id, on_reused_connection: is_reused };
+        let class = self.gateway.on_response(ResponsePolicy::LIVE, &head, &sent, attempt.server());
         match class {
             ResponseClass::NotExecuted => {
                 self.drain_response(attempt.server(), connection, &head.headers, body).await;
--- a/data-plane/gateway/src/live/mod.rs
+++ b/data-plane/gateway/src/live/mod.rs
@@ -34,6 +34,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
+use tracing::debug;
 
 /// Margin between the deadline for the response and the time limit of the client or the route.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(15);
@@ -128,6 +129,7 @@
         if self.executions > 0 {
             return local_reply(StatusCode::GATEWAY_TIMEOUT, "no server has answered");
         }
+        debug!(id = %self.id, rejections = self.rejections, "request rejected");
         rejection(StatusCode::SERVICE_UNAVAILABLE, "no server takes the request", RETRY_AFTER_NO_SERVER)
     }
 }
--- a/data-plane/gateway/src/main.rs
+++ b/data-plane/gateway/src/main.rs
@@ -54,7 +54,8 @@
 
 fn main() -> ExitCode {
     let flags = MarblecroftDataPlane::from_env_or_exit();
-    let log = LogConfig { format: LogFormat::TextWithFields, ..LogConfig::default() };
+    let requests = matches!(&flags.subcommand, Command::Gateway(gateway) if gateway.log_requests);
+    let log = LogConfig { format: LogFormat::TextWithFields, requests };
     marblecroft_logging::init("marblecroft-data-plane", log);
     let settings = match Settings::load_from_environment() {
         Ok(settings) => settings,
--- a/data-plane/gateway/src/maintenance.rs
+++ b/data-plane/gateway/src/maintenance.rs
@@ -1,5 +1,5 @@
 //! Periodic tasks: apply updates of the configuration and the server list to admission and
-//! placement, assess the load, and close idle connections.
+//! placement, assess the load, close idle connections, and log the attempts at model servers.
 
 use crate::gateway::Gateway;
 use marblecroft_configuration::{Configuration, Route, RouteType};
@@ -13,6 +13,8 @@
 const SWEEP_INTERVAL: Duration = Duration::from_millis(300);
 /// Assumed time until a change of the admitted fraction shows in the servers' load.
 const ADMISSION_LAG: Duration = Duration::from_millis(300);
+/// Interval between two log lines with the counts of attempts.
+const ATTEMPTS_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Applies new configurations to admission and new server lists to the balancer.
 pub async fn apply_updates(gateway: Rc<Gateway>) {
@@ -80,3 +82,11 @@
         gateway.pool.close_expired();
     }
 }
+
+/// Logs how attempts at model servers have ended.
+pub async fn log_attempts(gateway: Rc<Gateway>) {
+    loop {
+        sleep(ATTEMPTS_LOG_INTERVAL).await;
+        gateway.attempts.log_changes();
+    }
+}
--- a/data-plane/gateway/src/startup.rs
+++ b/data-plane/gateway/src/startup.rs
@@ -77,6 +77,7 @@
     spawn_local(maintenance::apply_updates(gateway.clone()));
     spawn_local(maintenance::assess_load(gateway.clone()));
     spawn_local(maintenance::close_idle_connections(gateway.clone()));
+    spawn_local(maintenance::log_attempts(gateway.clone()));
     spawn_local(batch_runner::run(gateway.clone()));
     spawn_local(load_exchange::run(gateway.clone()));
     // Settings cannot be changed at run time. Without this handler SIGHUP would end the process.
@@ -87,5 +88,6 @@
         terminate.recv().await;
     };
     server::serve(&gateway, listener, terminated).await;
+    gateway.attempts.log_changes();
     Ok(())
 }
--- a/data-plane/gateway/src/upstream/classify.rs
+++ b/data-plane/gateway/src/upstream/classify.rs
@@ -46,6 +46,7 @@
 //! | error 422 | forwarded to the client | the item is dead-lettered |
 //! | other error | forwarded to the client | retry |
 
+use super::counters::{AttemptCounters, AttemptEnd};
 use crate::headers::{NOT_EXECUTED, REQUEST_ID, SERVER_LOAD, SIGNATURE};
 use hyper::header::{HeaderMap, HeaderName, CONTENT_ENCODING};
 use hyper::http::response::Parts;
@@ -131,29 +132,33 @@
     }
 
     /// Classifies the response of the server `server_id` to `request`. Records the load that the
-    /// server reports and the outcome for its health with the balancer.
+    /// server reports and the outcome for its health with the balancer, and counts the attempt.
     pub fn classify_and_record(
         &self,
         head: &Parts,
         request: &SentRequest<'_>,
         server_id: &str,
+        counters: &AttemptCounters,
         balancer: &mut LoadBalancer,
         now: Timestamp,
     ) -> ResponseClass {
         let head = ResponseHead { status: head.status, headers: &head.headers };
         let is_for_request = head.is_for(request);
-        if !is_for_request {
-            debug!(
-                id = request.id,
-                response_id = head.text(&REQUEST_ID),
-                server = server_id,
-                status = %head.status,
-                "response to another request"
-            );
-        } else if let Some(load) = head.text(&SERVER_LOAD).and_then(ReportedLoad::parse) {
+        if let Some(load) = head.text(&SERVER_LOAD).filter(|_| is_for_request).and_then(ReportedLoad::parse) {
             balancer.on_reported_load(server_id, load, now);
         }
         let (class, outcome) = self.classify(&head, is_for_request);
+        let end = head.attempt_end(class, is_for_request);
+        debug!(
+            id = request.id,
+            server = server_id,
+            reused = request.on_reused_connection,
+            status = head.status.as_u16(),
+            response_id = head.text(&REQUEST_ID),
+            ?end,
+            "response from server"
+        );
+        counters.record(end);
         if let Some(outcome) = outcome {
             balancer.on_outcome(server_id, outcome, now);
         }
@@ -181,6 +186,18 @@
         self.has(&NOT_EXECUTED) || self.status == StatusCode::MISDIRECTED_REQUEST
     }
 
+    /// Returns how an attempt ended whose response has this head and class.
+    fn attempt_end(&self, class: ResponseClass, is_for_request: bool) -> AttemptEnd {
+        match class {
+            _ if !is_for_request && self.is_declined() => AttemptEnd::OtherRequestRejected,
+            _ if !is_for_request => AttemptEnd::OtherRequest,
+            ResponseClass::NotExecuted => AttemptEnd::NotExecuted,
+            ResponseClass::Untrusted => AttemptEnd::Untrusted,
+            ResponseClass::Success => AttemptEnd::Success,
+            ResponseClass::Error(_) => AttemptEnd::Error,
+        }
+    }
+
     /// Returns whether this is certainly the response to `request`.
     fn is_for(&self, request: &SentRequest<'_>) -> bool {
         match self.headers.get(&REQUEST_ID) {
--- a/data-plane/gateway/src/upstream/classify/tests.rs
+++ b/data-plane/gateway/src/upstream/classify/tests.rs
@@ -1,6 +1,6 @@
 //! Tests each row of the classification table, for live requests and for items of batch jobs.
 
-use super::{ResponseClass, ResponsePolicy, SentRequest};
+use super::{AttemptCounters, ResponseClass, ResponsePolicy, SentRequest};
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::Response;
@@ -169,8 +169,14 @@
     let now = Duration::from_secs(1);
     let load = ("x-server-load", "6,2,8");
     let parts = head(500, &[SIGNED, load]);
-    let class =
-        ResponsePolicy::LIVE.classify_and_record(&parts, &FIRST_REQUEST, "server", &mut balancer, now);
+    let class = ResponsePolicy::LIVE.classify_and_record(
+        &parts,
+        &FIRST_REQUEST,
+        "server",
+        &AttemptCounters::default(),
+        &mut balancer,
+        now,
+    );
     assert_eq!(class, error(500));
     assert_eq!(balancer.occupancy("s", now), Some(1.0));
     let request = PlacementRequest { service: "s", prefix_key: None, attempted: &[], max_occupancy: 2.0 };
@@ -183,6 +189,13 @@
     balancer.update(&ServerList { servers: vec![idle_server()], ..ServerList::default() });
     let now = Duration::from_secs(1);
     let parts = head(200, &[SIGNED, OTHER_ID, ("x-server-load", "6,2,8")]);
-    ResponsePolicy::LIVE.classify_and_record(&parts, &FIRST_REQUEST, "server", &mut balancer, now);
+    ResponsePolicy::LIVE.classify_and_record(
+        &parts,
+        &FIRST_REQUEST,
+        "server",
+        &AttemptCounters::default(),
+        &mut balancer,
+        now,
+    );
     assert_eq!(balancer.occupancy("s", now), Some(0.0));
 }
--- a/data-plane/gateway/tests/process/late_responses.rs
+++ b/data-plane/gateway/tests/process/late_responses.rs
@@ -30,14 +30,16 @@
     })
 }
 
-/// Sends requests until one has run, which requires a reused connection.
-fn assert_that_no_request_runs_twice(has_request_ids: bool) {
+/// Starts two repeating servers and a gateway that logs the events of requests, and sends requests until one
+/// has run, which requires a reused connection. Asserts that it has run once and is not answered with a promise.
+/// Returns its id and the gateway's log.
+fn assert_that_no_request_runs_twice(has_request_ids: bool) -> (String, String) {
     let runs = Runs::default();
     let servers = ["server-1", "server-2"].map(|id| repeating_server(id, &runs, has_request_ids));
     let stores = Stores::start();
     let coordinator = Coordinator::start(stores.address(), servers.iter().map(ModelServer::entry).collect());
     coordinator.set_configuration(&configuration(1, &[ROUTE.to_owned()]));
-    let gateway = Gateway::start(&coordinator);
+    let gateway = Gateway::start_with_request_log(&coordinator);
     let mut next_id = 0;
     let (id, status) = wait_for("a request on a reused connection", || {
         next_id += 1;
@@ -48,6 +50,7 @@
     });
     assert_eq!(runs.lock().expect("not poisoned").get(&id), Some(&1), "runs of {id}, answered {status}");
     assert_eq!(status, 502, "any status that promises that the request has not run is wrong");
+    (id, gateway.log())
 }
 
 // The late copy was taken for a rejection of the next request, which then ran at a second server.
@@ -61,3 +64,13 @@
 fn a_late_copy_of_a_rejection_without_an_id_does_not_make_the_next_request_run_twice() {
     assert_that_no_request_runs_twice(false);
 }
+
+#[test]
+fn the_log_tells_a_rejection_of_another_request_from_one_of_this_request() {
+    let (id, log) = assert_that_no_request_runs_twice(true);
+    let ends: Vec<&str> = log.lines().filter(|line| line.contains("response from server")).collect();
+    let is_rejection = |line: &&&str| line.contains("end=NotExecuted") && line.contains("reused=false");
+    assert!(ends.iter().any(|line| is_rejection(&line)), "{log}");
+    let (quoted_id, end) = (format!("id={id:?}"), "end=OtherRequestRejected");
+    assert!(ends.iter().any(|line| line.contains(&quoted_id) && line.contains(end)), "{log}");
+}
--- a/data-plane/gateway/tests/process/stand_ins/gateway.rs
+++ b/data-plane/gateway/tests/process/stand_ins/gateway.rs
@@ -2,7 +2,7 @@
 
 use super::{unused_ip, wait_for, Coordinator, Response, INTERNAL_PORT};
 use std::ffi::OsString;
-use std::fs;
+use std::fs::{self, File};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -10,6 +10,8 @@
 const CLIENT_PORT: u16 = 8166;
 const READINESS_PORT: u16 = 8167;
 const OPERATOR_PORT: u16 = 8168;
+/// Where the gateway's log goes, in its folder.
+const LOG_FILE: &str = "log.txt";
 
 /// Names another build of the program, to run these tests against it.
 const PROGRAM_VARIABLE: &str = "MARBLECROFT_DATA_PLANE_PROGRAM";
@@ -33,6 +35,15 @@
 
     /// Starts a gateway that pulls from `coordinator`, and waits until it is ready.
     pub fn start_in_zone(zone: &str, coordinator: &Coordinator) -> Gateway {
+        Gateway::start_with_arguments(zone, coordinator, &[])
+    }
+
+    /// Starts a gateway in zone `a` that logs the events of single requests.
+    pub fn start_with_request_log(coordinator: &Coordinator) -> Gateway {
+        Gateway::start_with_arguments("a", coordinator, &["--log-requests"])
+    }
+
+    fn start_with_arguments(zone: &str, coordinator: &Coordinator, arguments: &[&str]) -> Gateway {
         let ip = unused_ip();
         let folder = std::env::temp_dir().join(format!("marblecroft-gateway-{ip}"));
         fs::create_dir_all(&folder).expect("a folder");
@@ -48,10 +59,11 @@
         fs::write(&path, settings).expect("written");
         let process = Command::new(program())
             .arg("gateway")
+            .args(arguments)
             .env("MARBLECROFT_CONFIG", path)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(Stdio::null())
+            .stderr(File::create(folder.join(LOG_FILE)).expect("a file"))
             .spawn()
             .expect("starts");
         let gateway = Gateway { ip, folder, process };
@@ -63,6 +75,11 @@
         gateway
     }
 
+    /// Returns what the gateway has logged.
+    pub fn log(&self) -> String {
+        fs::read_to_string(self.folder.join(LOG_FILE)).expect("readable")
+    }
+
     /// Sends a client's request.
     pub fn post(&self, path: &str, headers: &[(&str, &str)], body: &str) -> std::io::Result<Response> {
         let address = SocketAddr::from((self.ip, CLIENT_PORT));
