--- a/data-plane/gateway/tests/process/repeated_responses.rs
+++ b/data-plane/gateway/tests/process/repeated_responses.rs
@@ -1,5 +1,5 @@
-//! Gateways of three zones under bursts of more requests than their servers take, while servers send responses
-//! twice. A rejection must only ever count for the request that it belongs to.
+//! Gateways of three zones between servers that reject many requests, because they are full or for no reason,
+//! and that send responses twice. A rejection must only ever count for the request that it belongs to.
 
 use crate::stand_ins::{
     configuration, wait_for, Behavior, Coordinator, Gateway, HandledRequest, QueueingServer, Record,
@@ -17,12 +17,11 @@
     "attempts":1,"resumable":false}"#;
 const ZONES: [&str; 3] = ["a", "b", "c"];
 const SERVERS_PER_ZONE: usize = 3;
-/// More than twice what the servers take at once.
-const REQUESTS_PER_BURST: usize = 24;
-const BURSTS_PER_SEED: u64 = 16;
-/// Bounds of the pause between two bursts.
-const MIN_PAUSE_MS: u64 = 40;
-const MAX_PAUSE_MS: u64 = 160;
+/// One response in this many is sent twice.
+const REPEATS_ONE_IN: u64 = 2;
+/// Delay of copies that are not sent in the place of another response. Longer than connections rest before
+/// they are reused.
+const COPY_DELAY: Duration = Duration::from_millis(20);
 /// Number of seeds if [`SEEDS_VARIABLE`] does not state one.
 const DEFAULT_SEEDS: u64 = 2;
 /// Sets the number of seeds, for long runs by hand.
@@ -30,6 +29,58 @@
 /// Statuses that promise that a request has not run and will not run.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
+/// The servers, and the bursts of requests that each gateway receives.
+struct Scenario {
+    behavior: Behavior,
+    requests_per_burst: usize,
+    bursts_per_seed: u64,
+    /// Bounds of the pause between two bursts.
+    min_pause_ms: u64,
+    max_pause_ms: u64,
+}
+
+impl Scenario {
+    /// Bursts of more than twice what the servers take at once.
+    fn full(repetition: Repetition) -> Scenario {
+        Scenario {
+            behavior: Behavior {
+                slots: 2,
+                queue: 1,
+                rejected_permille: 0,
+                repetition,
+                repeats_one_in: REPEATS_ONE_IN,
+            },
+            requests_per_burst: 24,
+            bursts_per_seed: 16,
+            min_pause_ms: 40,
+            max_pause_ms: 160,
+        }
+    }
+
+    /// Servers with the slots of the operators' that are never full, and reject each second request.
+    fn rejecting(repetition: Repetition) -> Scenario {
+        Scenario {
+            behavior: Behavior {
+                slots: 24,
+                queue: 67,
+                rejected_permille: 500,
+                repetition,
+                repeats_one_in: REPEATS_ONE_IN,
+            },
+            requests_per_burst: 8,
+            bursts_per_seed: 60,
+            min_pause_ms: 20,
+            max_pause_ms: 60,
+        }
+    }
+
+    /// Returns the pause after a burst (Weyl sequence).
+    fn pause(&self, seed: u64, burst: u64) -> Duration {
+        let step = (seed * self.bursts_per_seed + burst).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+        Duration::from_millis(self.min_pause_ms + step % (self.max_pause_ms - self.min_pause_ms))
+    }
+}
+
 /// A request as its client saw it.
 struct Sent {
     id: String,
@@ -63,12 +114,12 @@
     }
 
     /// Sends the bursts of one seed, and waits until nothing runs any more.
-    fn send_bursts(&self, seed: u64) -> Vec<Sent> {
+    fn send_bursts(&self, scenario: &Scenario, seed: u64) -> Vec<Sent> {
         let sent = Mutex::new(Vec::new());
         thread::scope(|scope| {
-            for burst in 0..BURSTS_PER_SEED {
+            for burst in 0..scenario.bursts_per_seed {
                 for (gateway, zone) in self.gateways.iter().zip(ZONES) {
-                    for index in 0..REQUESTS_PER_BURST {
+                    for index in 0..scenario.requests_per_burst {
                         let (sent, id) = (&sent, format!("{seed}-{burst}-{zone}-{index}"));
                         scope.spawn(move || {
                             let status = send(gateway, &id);
@@ -76,7 +127,7 @@
                         });
                     }
                 }
-                thread::sleep(pause(seed, burst));
+                thread::sleep(scenario.pause(seed, burst));
             }
         });
         wait_for("idle servers", || self.servers.iter().all(QueueingServer::is_idle).then_some(()));
@@ -89,12 +140,6 @@
     gateway.post("/query/1", &headers, "body").ok().map(|response| response.status())
 }
 
-/// Returns the pause after a burst (Weyl sequence).
-fn pause(seed: u64, burst: u64) -> Duration {
-    let step = (seed * BURSTS_PER_SEED + burst).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
-    Duration::from_millis(MIN_PAUSE_MS + step % (MAX_PAUSE_MS - MIN_PAUSE_MS))
-}
-
 /// What broke the rules, as lines like those of the operators' record.
 #[derive(Default)]
 struct Violations {
@@ -120,7 +165,8 @@
             if is_refused || is_twice {
                 let _ = write!(violations.lines, "\nran {executions} times: {id} at zone {zone}, {status:?}");
                 for HandledRequest { server, zone, executed, preceded_by, .. } in attempts {
-                    let _ = write!(violations.lines, " [{server} {zone} ran {executed} after {preceded_by:?}]");
+                    let _ =
+                        write!(violations.lines, " [{server} {zone} ran {executed} after {preceded_by:?}]");
                 }
             }
         }
@@ -130,17 +176,17 @@
 
 /// Runs the seeds, and asserts for each that no request that may run once ran twice, and that none ran that
 /// was answered with a promise.
-fn assert_that_rejections_are_not_mixed_up(repetition: Repetition) {
-    let behavior = Behavior { slots: 2, queue: 1, repetition, repeats_one_in: 3 };
-    let fleet = Fleet::start(behavior);
+fn assert_that_rejections_are_not_mixed_up(scenario: &Scenario) {
+    let fleet = Fleet::start(scenario.behavior);
     let seeds = std::env::var(SEEDS_VARIABLE).ok().and_then(|seeds| seeds.parse().ok());
     let mut violations = Vec::new();
     let mut misplaced = 0;
     for seed in 1..=seeds.unwrap_or(DEFAULT_SEEDS) {
-        let sent = fleet.send_bursts(seed);
+        let sent = fleet.send_bursts(scenario, seed);
         let handled = std::mem::take(&mut *fleet.record.lock().expect("not poisoned"));
         let found = Violations::find(&sent, &handled);
-        misplaced += handled.iter().filter(|request| request.executed && request.preceded_by.is_some()).count();
+        misplaced +=
+            handled.iter().filter(|request| request.executed && request.preceded_by.is_some()).count();
         let rejected = handled.iter().filter(|request| !request.executed).count();
         println!(
             "seed {seed}: {} requests, {} handled, {rejected} rejected; REFUSED {}, TWICE {}",
@@ -150,10 +196,13 @@
             found.twice
         );
         if !found.lines.is_empty() {
-            violations.push(format!("seed {seed}: {} REFUSED, {} TWICE{}", found.refused, found.twice, found.lines));
+            violations.push(format!(
+                "seed {seed}: {} REFUSED, {} TWICE{}",
+                found.refused, found.twice, found.lines
+            ));
         }
     }
-    if matches!(repetition, Repetition::BeforeNextResponse) {
+    if matches!(scenario.behavior.repetition, Repetition::BeforeNextResponse) {
         assert!(misplaced > 0, "no request ran behind a copy of another response");
     }
     assert!(violations.is_empty(), "{}", violations.join("\n"));
@@ -162,11 +211,16 @@
 // Hundreds of requests ran twice, or ran although they were answered 503 (docs/incidents/ran-though-rejected.md).
 #[test]
 fn a_rejection_in_the_place_of_another_response_does_not_count_for_its_request() {
-    assert_that_rejections_are_not_mixed_up(Repetition::BeforeNextResponse);
+    assert_that_rejections_are_not_mixed_up(&Scenario::rejecting(Repetition::BeforeNextResponse));
+}
+
+#[test]
+fn a_full_servers_rejection_in_the_place_of_another_response_does_not_count_for_its_request() {
+    assert_that_rejections_are_not_mixed_up(&Scenario::full(Repetition::BeforeNextResponse));
 }
 
 // The same with copies that arrive when the connection may be idle, in use or reused.
 #[test]
 fn a_rejection_that_arrives_again_later_does_not_count_for_another_request() {
-    assert_that_rejections_are_not_mixed_up(Repetition::AfterDelay(Duration::from_millis(20)));
+    assert_that_rejections_are_not_mixed_up(&Scenario::rejecting(Repetition::AfterDelay(COPY_DELAY)));
 }
--- a/data-plane/gateway/tests/process/stand_ins/queueing_server.rs
+++ b/data-plane/gateway/tests/process/stand_ins/queueing_server.rs
@@ -33,6 +33,9 @@
     pub slots: u32,
     /// Requests that wait for a slot before further ones are rejected.
     pub queue: u32,
+    /// Share of the requests that are rejected although there is a slot, in thousandths. Drawn anew for each
+    /// server.
+    pub rejected_permille: u64,
     /// When second copies are sent.
     pub repetition: Repetition,
     /// One response in this many is sent twice.
@@ -141,7 +144,7 @@
             }
             let bytes = self.handle(&request, id, preceding.map(|copy| copy.of));
             write(&bytes)?;
-            if hash(id) % self.behavior.repeats_one_in != 0 {
+            if !hash(id).is_multiple_of(self.behavior.repeats_one_in) {
                 continue;
             }
             match self.behavior.repetition {
@@ -161,7 +164,7 @@
 
     /// Runs or rejects a request. Returns the response.
     fn handle(&self, request: &Request, id: &str, preceded_by: Option<String>) -> Vec<u8> {
-        let executed = self.take_slot(deadline(request));
+        let executed = !self.is_drawn_to_reject(id) && self.take_slot(deadline(request));
         let handled = HandledRequest {
             id: id.to_owned(),
             server: self.id.clone(),
@@ -179,6 +182,10 @@
         completed(id)
     }
 
+    fn is_drawn_to_reject(&self, id: &str) -> bool {
+        hash(&format!("{} {id}", self.id)) % 1000 < self.behavior.rejected_permille
+    }
+
     /// Waits for a slot. Returns whether the request has one: the queue is not full, and the deadline has not
     /// passed in it.
     fn take_slot(&self, deadline: Instant) -> bool {
