Gateway: do not pass on a server's 408, 429 or 503 that has no X-Not-Executed

Callers saw: a server that ran a request of a stream that may not be resumed and answered it with a signed 408, 429 or 503 had that status passed on, which promises the client that the request has not run and never will (REFUSED), and invites it to send the request again.

Cause: the class of a response did not ask whether its status is a promise that only X-Not-Executed proves.

Why it works: such a response is untrusted, as one without a signature: the request may have run, so it goes elsewhere only where the route allows it, and otherwise ends with 502. What is recorded of a server's health is as before.

Test changed: server_errors_count_as_failures_for_live_requests_only asserted that 429 and 503 are errors to be passed on, which is the fault. It asserts 431 and 504 in their place, and a new test asserts the three statuses, with and without the proof. The test now waits for a request that has run.

--- a/data-plane/gateway/src/upstream/classify.rs
+++ b/data-plane/gateway/src/upstream/classify.rs
@@ -9,6 +9,7 @@
 //! | `X-Request-Id` of another request, or none on a reused connection | `Untrusted` |
 //! | declined: has `X-Not-Executed` or status 421 | `NotExecuted` |
 //! | no `X-Response-Signature` | `Untrusted` |
+//! | status 408, 429 or 503 | `Untrusted` |
 //! | 2xx with `Content-Encoding` | `Untrusted` |
 //! | 2xx | `Success` |
 //! | any other status | `Error` |
@@ -18,6 +19,10 @@
 //! says nothing about that request, which the server may be executing. On a new connection there is
 //! no earlier request, and `X-Request-Id` may be missing.
 //!
+//! Statuses 408, 429 and 503 promise a client that its request has not run and will not run. Only
+//! `X-Not-Executed` proves that; without it the server may have run the request, so its status must
+//! not be forwarded.
+//!
 //! Status 421 means that another incarnation is at the address. Requests ask for no encoding, so an
 //! encoded body is not the server's.
 //!
@@ -28,8 +33,8 @@
 //! |---|---|---|
 //! | declined with 2xx | classified like any 2xx | not executed |
 //! | server health, declined | full | full |
-//! | server health, untrusted | by status: 5xx failed, else succeeded | not recorded |
-//! | server health, otherwise | by status: 5xx failed, else succeeded | succeeded |
+//! | server health, the server's own response | by status: 5xx failed, else succeeded | succeeded |
+//! | server health, otherwise | by status: 5xx failed, else succeeded | not recorded |
 //!
 //! A 5xx response to a batch item is not a failure of the server, because an item that cannot be
 //! processed gets status 500 from every server.
@@ -60,8 +65,8 @@
 pub enum ResponseClass {
     /// The server promises that it has not executed the request and will not.
     NotExecuted,
-    /// The response belongs to another request, does not come from the server itself, or cannot be
-    /// read. The request may have been executed. The connection must not be reused.
+    /// The response belongs to another request, does not come from the server itself, cannot be
+    /// read, or has a status that promises what it does not prove. The request may have been executed. The connection must not be reused.
     Untrusted,
     /// A 2xx response to this request from the server itself.
     Success,
@@ -75,7 +80,7 @@
     /// Every response counts: 5xx as a failure, any other status as a success.
     ByStatus,
     /// Every response from the server itself counts as a success. Other responses are not recorded.
-    AnyTrusted,
+    AnyOwn,
 }
 
 /// The request to which a response is expected.
@@ -102,7 +107,7 @@
         ResponsePolicy { accepts_decline_with_success: false, health: HealthRule::ByStatus };
     /// Policy for items of batch jobs.
     pub const BATCH: ResponsePolicy =
-        ResponsePolicy { accepts_decline_with_success: true, health: HealthRule::AnyTrusted };
+        ResponsePolicy { accepts_decline_with_success: true, health: HealthRule::AnyOwn };
 
     /// Classifies a response. `is_for_request` tells whether it is certainly the response to the
     /// request. Also returns the outcome to record for the server's health, if any.
@@ -116,7 +121,8 @@
             return (ResponseClass::NotExecuted, Some(ServerOutcome::Full));
         }
         let is_readable = !is_success || !head.has(&CONTENT_ENCODING);
-        let class = if !is_for_request || !head.has(&SIGNATURE) || !is_readable {
+        let is_own = is_for_request && head.has(&SIGNATURE) && is_readable;
+        let class = if !is_own || promises_no_execution(head.status) {
             ResponseClass::Untrusted
         } else if is_success {
             ResponseClass::Success
@@ -126,7 +132,7 @@
         let outcome = match self.health {
             HealthRule::ByStatus if head.status.is_server_error() => Some(ServerOutcome::Failed),
             HealthRule::ByStatus => Some(ServerOutcome::Succeeded),
-            HealthRule::AnyTrusted => (class != ResponseClass::Untrusted).then_some(ServerOutcome::Succeeded),
+            HealthRule::AnyOwn => is_own.then_some(ServerOutcome::Succeeded),
         };
         (class, outcome)
     }
@@ -166,6 +172,18 @@
     }
 }
 
+/// Returns whether a response with this status promises that its request has not run and will not
+/// run.
+fn promises_no_execution(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Head of a response.
 struct ResponseHead<'a> {
     status: StatusCode,
--- a/data-plane/gateway/src/upstream/classify/tests.rs
+++ b/data-plane/gateway/src/upstream/classify/tests.rs
@@ -140,16 +140,29 @@
 
 #[test]
 fn server_errors_count_as_failures_for_live_requests_only() {
-    for status in [100, 302, 404, 422, 429] {
+    for status in [100, 302, 404, 422, 431] {
         assert_eq!(live(status, &[SIGNED]), (error(status), Some(ServerOutcome::Succeeded)));
         assert_eq!(batch(status, &[SIGNED]), (error(status), Some(ServerOutcome::Succeeded)));
     }
-    for status in [500, 502, 503] {
+    for status in [500, 502, 504] {
         assert_eq!(live(status, &[SIGNED]), (error(status), Some(ServerOutcome::Failed)));
         assert_eq!(batch(status, &[SIGNED]), (error(status), Some(ServerOutcome::Succeeded)));
     }
 }
 
+// The status was forwarded, and promised the client that its request had not run.
+#[test]
+fn a_status_that_promises_no_execution_is_untrusted_without_its_proof() {
+    for (status, outcome) in
+        [(408, ServerOutcome::Succeeded), (429, ServerOutcome::Succeeded), (503, ServerOutcome::Failed)]
+    {
+        assert_eq!(live(status, &[SIGNED]), (ResponseClass::Untrusted, Some(outcome)), "{status}");
+        let succeeded = Some(ServerOutcome::Succeeded);
+        assert_eq!(batch(status, &[SIGNED]), (ResponseClass::Untrusted, succeeded), "{status}");
+        assert_eq!(live(status, &[SIGNED, DECLINED]), NOT_EXECUTED, "{status}");
+    }
+}
+
 fn idle_server() -> Server {
     Server {
         id: "server".to_owned(),
--- a/data-plane/gateway/tests/process/main.rs
+++ b/data-plane/gateway/tests/process/main.rs
@@ -6,3 +6,4 @@
 mod outdated_configuration;
 mod repeated_responses;
 mod stand_ins;
+mod unproven_promises;
--- a/data-plane/gateway/tests/process/repeated_responses.rs
+++ b/data-plane/gateway/tests/process/repeated_responses.rs
@@ -3,7 +3,7 @@
 
 use crate::stand_ins::{
     configuration, wait_for, Behavior, Coordinator, Gateway, HandledRequest, QueueingServer, Record,
-    Repetition, Stores, HOST,
+    Repetition, Stores, HOST, PROMISES,
 };
 use std::collections::HashMap;
 use std::fmt::Write as _;
@@ -26,8 +26,6 @@
 const DEFAULT_SEEDS: u64 = 2;
 /// Sets the number of seeds, for long runs by hand.
 const SEEDS_VARIABLE: &str = "MARBLECROFT_TEST_SEEDS";
-/// Statuses that promise that a request has not run and will not run.
-const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
 /// The servers, and the bursts of requests that each gateway receives.
 struct Scenario {
--- a/data-plane/gateway/tests/process/stand_ins/http.rs
+++ b/data-plane/gateway/tests/process/stand_ins/http.rs
@@ -5,6 +5,8 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
+/// Statuses that promise that a request has not run and will not run.
+pub const PROMISES: [u16; 4] = [408, 421, 429, 503];
 const TIMEOUT: Duration = Duration::from_secs(10);
 /// What follows the bytes of each chunk.
 const CHUNK_END: &str = "\r\n";
--- a/data-plane/gateway/tests/process/stand_ins/mod.rs
+++ b/data-plane/gateway/tests/process/stand_ins/mod.rs
@@ -11,7 +11,7 @@
 pub use configuration::{configuration, BatchRoute, HOST};
 pub use coordinator::Coordinator;
 pub use gateway::Gateway;
-pub use http::{completed, response, signed_headers, Response};
+pub use http::{completed, response, signed_headers, Response, PROMISES};
 pub use model_server::ModelServer;
 pub use queueing_server::{Behavior, HandledRequest, QueueingServer, Record, Repetition};
 pub use stores::Stores;
--- /dev/null
+++ b/data-plane/gateway/tests/process/unproven_promises.rs
@@ -0,0 +1,39 @@
+//! A status that promises that a request has not run and will not run is only sent if that is certain.
+
+use crate::stand_ins::{
+    configuration, response, signed_headers, wait_for, Coordinator, Gateway, ModelServer, Stores, HOST,
+    PROMISES,
+};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+
+/// A route of streams that may not be resumed, so that each request may run once.
+const ROUTE: &str = r#"{"name":"route","hostname":"pay.example","path_prefix":"/query/",
+    "route_type":"streaming","timeout_ms":2000,"target_latency_ms":300,"priority":0,"backend":"service",
+    "attempts":1,"resumable":false}"#;
+
+// The status was passed on, which promised that the request had not run.
+#[test]
+fn a_status_that_promises_is_not_passed_on_from_a_server_that_has_run_the_request() {
+    for status in [408, 429, 503] {
+        let executions = Arc::new(AtomicU32::new(0));
+        let counted = executions.clone();
+        let server = ModelServer::start("server", move |request, _| {
+            counted.fetch_add(1, Ordering::Relaxed);
+            let id = request.header("x-request-id").unwrap_or_default();
+            response(status, &signed_headers(id), "failed while it ran")
+        });
+        let stores = Stores::start();
+        let coordinator = Coordinator::start(stores.address(), vec![server.entry()]);
+        coordinator.set_configuration(&configuration(1, &[ROUTE.to_owned()]));
+        let gateway = Gateway::start(&coordinator);
+        // The gateway rejects requests by itself until it can send them.
+        let response = wait_for("a request that has run", || {
+            let headers = [("Host", HOST), ("X-Request-Id", "request"), ("X-Timeout-Ms", "2000")];
+            let response = gateway.post("/query/1", &headers, "body").expect("a response");
+            (executions.load(Ordering::Relaxed) > 0).then_some(response)
+        });
+        assert!(!PROMISES.contains(&response.status()), "{status} was passed on as {}", response.status());
+        assert!(response.header("x-response-signature").is_none(), "the status is not the server's");
+    }
+}
