Gateway: a request that was read is not 'not sent' because its retry cannot be sent

A request that may be executed again, written on a kept connection that then ended without a response, is sent once more to the same server. If that second sending could not begin (connection refused, server draining), the attempt counted as not sent, and with no other server left the client was answered 503 although its request may have run.

Evidence: the new test fails before this change (NotSent in place of MayHaveExecuted), passes now.

Why it works: once something was written, every way out of the function says that the request may have been executed.

--- a/data-plane/gateway/src/upstream/attempt.rs
+++ b/data-plane/gateway/src/upstream/attempt.rs
@@ -63,18 +63,20 @@
     ) -> Result<UpstreamResponse, AttemptError> {
         let mut http_request = to_http_request(server, request);
         let mut may_retry = request.allows_reexecution;
+        // The error if nothing more can be sent.
+        let mut error_if_unsent = AttemptError::NotSent;
         loop {
             let (mut connection, is_reused) = match self.take(server, request.allows_reexecution) {
                 Some(connection) => (connection, true),
                 None => {
                     let opened =
                         Connection::connect(server.address, CONNECT_TIMEOUT, Some(self.open.clone()));
-                    (opened.await.map_err(|_| AttemptError::NotSent)?, false)
+                    (opened.await.map_err(|_| error_if_unsent)?, false)
                 }
             };
             if connection.ready().await {
                 if !may_send() {
-                    return Err(AttemptError::NotSent);
+                    return Err(error_if_unsent);
                 }
                 match connection.try_send(http_request).await {
                     Ok(response) => return Ok(UpstreamResponse { response, connection, is_reused }),
@@ -84,6 +86,7 @@
                             // The server had probably closed the idle connection. Retries once at
                             // the same server.
                             may_retry = false;
+                            error_if_unsent = AttemptError::MayHaveExecuted;
                             http_request = to_http_request(server, request);
                         }
                         None => return Err(AttemptError::MayHaveExecuted),
@@ -93,7 +96,7 @@
             // The connection was closed before anything was written. A reused connection is
             // replaced; for a new one this is a server fault.
             if !is_reused {
-                return Err(AttemptError::NotSent);
+                return Err(error_if_unsent);
             }
         }
     }
@@ -111,3 +114,6 @@
     }
     http_request
 }
+
+#[cfg(test)]
+mod tests;
--- a/data-plane/gateway/src/upstream/pool.rs
+++ b/data-plane/gateway/src/upstream/pool.rs
@@ -25,7 +25,7 @@
 
 /// Minimum idle time after a response before a connection is reused. Some servers send a response
 /// twice, and the second one would be taken for the response to the next request.
-const REUSE_DELAY: Duration = Duration::from_millis(15);
+pub(super) const REUSE_DELAY: Duration = Duration::from_millis(15);
 /// Maximum idle time of a connection that is used for a request that must not be executed twice.
 const SHORT_IDLE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum idle time of a connection that is used for a request that may be executed again, if
