Gateway: do not reject a job while an earlier call may still submit it

A gateway that submits a job calls the stores until one replies as the head. If a call ended without a reply (store suspended, connection lost) and the next one was answered 'over quota', the client got 429, which promises that none of the job runs, although the first call may still be carried out (REFUSED for items).

That a store does carry such a call out later was not shown by a run.

Why it works: a rejection covers its own attempt only. The client of an unknown outcome sends the same job again, and the stores take it once.

--- a/data-plane/gateway/src/stores.rs
+++ b/data-plane/gateway/src/stores.rs
@@ -4,7 +4,8 @@
 //! view. A store that is not the head returns the address of the head, and the call is redirected
 //! there. All requests to stores are idempotent, so a call is retried until a head has replied or
 //! the time limit is reached. In the latter case the outcome shows whether a store may have
-//! executed the request.
+//! executed the request. A rejection does not end this doubt: a store that was suspended may still
+//! execute an earlier attempt.
 
 use crate::state::State;
 use marblecroft_protocol::store::{StoreReply, StoreRequest};
@@ -72,8 +73,11 @@
         let deadline = Instant::now() + time_limit;
         let mut may_have_executed = false;
         loop {
-            if let Some(reply) = self.call_head(request, deadline, &mut may_have_executed) {
-                return CallOutcome::Reply(Box::new(reply));
+            match self.call_head(request, deadline, &mut may_have_executed) {
+                // It rejects only its own attempt.
+                Some(StoreReply::OverQuota) if may_have_executed => return CallOutcome::MayHaveExecuted,
+                Some(reply) => return CallOutcome::Reply(Box::new(reply)),
+                None => {}
             }
             if Instant::now() + RETRY_INTERVAL >= deadline {
                 return if may_have_executed {
--- a/data-plane/gateway/tests/process/stand_ins/stores.rs
+++ b/data-plane/gateway/tests/process/stand_ins/stores.rs
@@ -5,6 +5,7 @@
 use marblecroft_batch_state::{Item, ItemId, ItemOutcome, NewJob};
 use marblecroft_protocol::store::{GrantedItem, StoreReply, StoreRequest, WorkReply, WorkRequest};
 use marblecroft_rpc::{http, serve, Bytes, Service};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -17,6 +18,8 @@
     queued: Vec<GrantedItem>,
     reports: Vec<WorkRequest>,
     jobs: Vec<NewJob>,
+    /// Replies to the next submissions; `None` fails the call. Later ones are accepted.
+    submission_replies: VecDeque<Option<StoreReply>>,
 }
 
 /// The stand-in.
@@ -49,6 +52,11 @@
         self.state().jobs.clone()
     }
 
+    /// Sets the replies to the next submissions; `None` fails the call. Later ones are accepted.
+    pub fn reply_to_submissions(&self, replies: Vec<Option<StoreReply>>) {
+        self.state().submission_replies = replies.into();
+    }
+
     /// Grants an item of a job with one item to the gateway, with its next request.
     pub fn grant(&self, job: &str, host: &str, path: &str) -> ItemId {
         let id = ItemId { job: job.to_owned(), item: 0 };
@@ -116,8 +124,9 @@
             Some(StoreReply::Work(reply))
         }
         StoreRequest::SubmitJob(job) => {
-            state.lock().expect("not poisoned").jobs.push(job);
-            Some(StoreReply::Accepted)
+            let mut state = state.lock().expect("not poisoned");
+            state.jobs.push(job);
+            state.submission_replies.pop_front().unwrap_or(Some(StoreReply::Accepted))
         }
         _ => None,
     }
--- a/data-plane/gateway/tests/process/unproven_promises.rs
+++ b/data-plane/gateway/tests/process/unproven_promises.rs
@@ -1,9 +1,10 @@
 //! A status that promises that a request has not run and will not run is only sent if that is certain.
 
 use crate::stand_ins::{
-    configuration, response, signed_headers, wait_for, Coordinator, Gateway, ModelServer, Stores, HOST,
-    PROMISES,
+    configuration, response, signed_headers, wait_for, BatchRoute, Coordinator, Gateway, ModelServer, Stores,
+    HOST, PROMISES,
 };
+use marblecroft_protocol::store::StoreReply;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 
@@ -11,6 +12,9 @@
 const ROUTE: &str = r#"{"name":"route","hostname":"pay.example","path_prefix":"/query/",
     "route_type":"streaming","timeout_ms":2000,"target_latency_ms":300,"priority":0,"backend":"service",
     "attempts":1,"resumable":false}"#;
+const BATCH_ROUTE: BatchRoute = BatchRoute { prefix: "/batch/", attempts: 3, max_queued_tokens: 1000 };
+const JOB: &str =
+    r#"{"requests":[{"id":"item","path":"/batch/1","headers":{},"body":"Ym9keQ==","tokens":10}]}"#;
 
 // The status was passed on, which promised that the request had not run.
 #[test]
@@ -37,3 +41,31 @@
         assert!(response.header("x-response-signature").is_none(), "the status is not the server's");
     }
 }
+
+// The rejection of the second call was taken for that of the job, which the first call may still submit.
+#[test]
+fn a_job_is_not_rejected_while_an_earlier_call_may_still_submit_it() {
+    let stores = Stores::start();
+    stores.reply_to_submissions(vec![None, Some(StoreReply::OverQuota)]);
+    let server = ModelServer::start("server", |_, _| Vec::new());
+    let coordinator = Coordinator::start(stores.address(), vec![server.entry()]);
+    coordinator.set_configuration(&configuration(1, &[BATCH_ROUTE.json()]));
+    let gateway = Gateway::start(&coordinator);
+    let headers = [("Host", HOST), ("X-Request-Id", "job")];
+    let response = gateway.post("/batch/1", &headers, JOB).expect("a response");
+    wait_for("both calls", || (stores.jobs().len() == 2).then_some(()));
+    assert!(!PROMISES.contains(&response.status()), "answered {}", response.status());
+}
+
+#[test]
+fn a_job_that_no_call_may_submit_is_rejected() {
+    let stores = Stores::start();
+    stores.reply_to_submissions(vec![Some(StoreReply::OverQuota)]);
+    let server = ModelServer::start("server", |_, _| Vec::new());
+    let coordinator = Coordinator::start(stores.address(), vec![server.entry()]);
+    coordinator.set_configuration(&configuration(1, &[BATCH_ROUTE.json()]));
+    let gateway = Gateway::start(&coordinator);
+    let headers = [("Host", HOST), ("X-Request-Id", "job")];
+    let response = gateway.post("/batch/1", &headers, JOB).expect("a response");
+    assert_eq!(response.status(), 429);
+}
