Gateway tests: a request whose response is lost runs once and gets no promise

Servers now end connections in the place of a response, half by a reset, and close idle ones within the time in which gateways reuse them; no response is sent twice.

--- a/data-plane/gateway/tests/process/repeated_responses.rs
+++ b/data-plane/gateway/tests/process/repeated_responses.rs
@@ -19,6 +19,7 @@
 const SERVERS_PER_ZONE: usize = 3;
 /// One response in this many is sent twice.
 const REPEATS_ONE_IN: u64 = 2;
+const NEVER: u64 = u64::MAX;
 /// Delay of copies that are not sent in the place of another response. Longer than connections rest before
 /// they are reused.
 const COPY_DELAY: Duration = Duration::from_millis(20);
@@ -45,6 +46,8 @@
                 slots: 2,
                 queue: 1,
                 rejected_permille: 0,
+                lost_permille: 0,
+                closed_permille: 0,
                 repetition,
                 repeats_one_in: REPEATS_ONE_IN,
             },
@@ -55,6 +58,20 @@
         }
     }
 
+    /// Servers that lose responses, and close connections while gateways are about to reuse them. They send no
+    /// response twice.
+    fn losing() -> Scenario {
+        let rejecting = Scenario::rejecting(Repetition::BeforeNextResponse);
+        let behavior = Behavior {
+            rejected_permille: 200,
+            lost_permille: 200,
+            closed_permille: 500,
+            repeats_one_in: NEVER,
+            ..rejecting.behavior
+        };
+        Scenario { behavior, ..rejecting }
+    }
+
     /// Servers with the slots of the operators' that are never full, and reject each second request.
     fn rejecting(repetition: Repetition) -> Scenario {
         Scenario {
@@ -62,6 +79,8 @@
                 slots: 24,
                 queue: 67,
                 rejected_permille: 500,
+                lost_permille: 0,
+                closed_permille: 0,
                 repetition,
                 repeats_one_in: REPEATS_ONE_IN,
             },
@@ -174,17 +193,18 @@
 
 /// Runs the seeds, and asserts for each that no request that may run once ran twice, and that none ran that
 /// was answered with a promise.
-fn assert_that_rejections_are_not_mixed_up(scenario: &Scenario) {
+fn assert_that_each_request_runs_once(scenario: &Scenario) {
     let fleet = Fleet::start(scenario.behavior);
     let seeds = std::env::var(SEEDS_VARIABLE).ok().and_then(|seeds| seeds.parse().ok());
     let mut violations = Vec::new();
-    let mut misplaced = 0;
+    let (mut misplaced, mut lost) = (0, 0);
     for seed in 1..=seeds.unwrap_or(DEFAULT_SEEDS) {
         let sent = fleet.send_bursts(scenario, seed);
         let handled = std::mem::take(&mut *fleet.record.lock().expect("not poisoned"));
         let found = Violations::find(&sent, &handled);
         misplaced +=
             handled.iter().filter(|request| request.executed && request.preceded_by.is_some()).count();
+        lost += handled.iter().filter(|request| request.lost).count();
         let rejected = handled.iter().filter(|request| !request.executed).count();
         println!(
             "seed {seed}: {} requests, {} handled, {rejected} rejected; REFUSED {}, TWICE {}",
@@ -200,25 +220,32 @@
             ));
         }
     }
-    if matches!(scenario.behavior.repetition, Repetition::BeforeNextResponse) {
+    let Behavior { repetition, repeats_one_in, .. } = scenario.behavior;
+    if matches!(repetition, Repetition::BeforeNextResponse) && repeats_one_in != NEVER {
         assert!(misplaced > 0, "no request ran behind a copy of another response");
     }
+    assert_eq!(lost > 0, scenario.behavior.lost_permille > 0, "{lost} responses were lost");
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
 
 // Hundreds of requests ran twice, or ran although they were answered 503 (docs/incidents/ran-though-rejected.md).
 #[test]
 fn a_rejection_in_the_place_of_another_response_does_not_count_for_its_request() {
-    assert_that_rejections_are_not_mixed_up(&Scenario::rejecting(Repetition::BeforeNextResponse));
+    assert_that_each_request_runs_once(&Scenario::rejecting(Repetition::BeforeNextResponse));
 }
 
 #[test]
 fn a_full_servers_rejection_in_the_place_of_another_response_does_not_count_for_its_request() {
-    assert_that_rejections_are_not_mixed_up(&Scenario::full(Repetition::BeforeNextResponse));
+    assert_that_each_request_runs_once(&Scenario::full(Repetition::BeforeNextResponse));
 }
 
 // The same with copies that arrive when the connection may be idle, in use or reused.
 #[test]
 fn a_rejection_that_arrives_again_later_does_not_count_for_another_request() {
-    assert_that_rejections_are_not_mixed_up(&Scenario::rejecting(Repetition::AfterDelay(COPY_DELAY)));
+    assert_that_each_request_runs_once(&Scenario::rejecting(Repetition::AfterDelay(COPY_DELAY)));
+}
+
+#[test]
+fn a_request_whose_response_is_lost_runs_once_and_gets_no_promise() {
+    assert_that_each_request_runs_once(&Scenario::losing());
 }
--- a/data-plane/gateway/tests/process/stand_ins/queueing_server.rs
+++ b/data-plane/gateway/tests/process/stand_ins/queueing_server.rs
@@ -4,6 +4,7 @@
 use super::http::{completed, response, Request};
 use super::unused_ip;
 use marblecroft_protocol::servers::Server;
+use socket2::SockRef;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -14,6 +15,10 @@
 /// Shortest run of a request; the longest is [`RUN_TIME_SPREAD`] longer.
 const MIN_RUN_TIME: Duration = Duration::from_millis(10);
 const RUN_TIME_SPREAD: Duration = Duration::from_millis(30);
+/// Shortest idle timeout of a connection that the server closes; the longest is [`IDLE_TIMEOUT_SPREAD`] longer.
+/// Gateways reuse connections within the same range.
+const MIN_IDLE_TIMEOUT: Duration = Duration::from_millis(10);
+const IDLE_TIMEOUT_SPREAD: Duration = Duration::from_millis(100);
 /// Time limit of a request that does not state one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -36,6 +41,12 @@
     /// Share of the requests that are rejected although there is a slot, in thousandths. Drawn anew for each
     /// server.
     pub rejected_permille: u64,
+    /// Share of the executed requests whose connection ends in the place of the response, in thousandths. Half
+    /// of these connections are reset.
+    pub lost_permille: u64,
+    /// Share of the responses after which the server closes the connection if it is idle for a while, in
+    /// thousandths.
+    pub closed_permille: u64,
     /// When second copies are sent.
     pub repetition: Repetition,
     /// One response in this many is sent twice.
@@ -49,6 +60,8 @@
     pub server: String,
     pub zone: String,
     pub executed: bool,
+    /// Whether the connection ended in the place of the response.
+    pub lost: bool,
     /// Id of the request whose response was sent a second time in the place of this one's.
     pub preceded_by: Option<String>,
 }
@@ -142,8 +155,15 @@
             if let Some(copy) = &preceding {
                 write(&copy.bytes)?;
             }
-            let bytes = self.handle(&request, id, preceding.map(|copy| copy.of));
+            let Some(bytes) = self.handle(&request, id, preceding.map(|copy| copy.of)) else {
+                if self.draw("resets", id, 500) {
+                    SockRef::from(reader.get_ref()).set_linger(Some(Duration::ZERO))?;
+                }
+                return Ok(());
+            };
             write(&bytes)?;
+            let closes = self.draw("closes", id, self.behavior.closed_permille);
+            reader.get_ref().set_read_timeout(closes.then_some(idle_timeout(id)))?;
             if !hash(id).is_multiple_of(self.behavior.repeats_one_in) {
                 continue;
             }
@@ -162,28 +182,32 @@
         Ok(())
     }
 
-    /// Runs or rejects a request. Returns the response.
-    fn handle(&self, request: &Request, id: &str, preceded_by: Option<String>) -> Vec<u8> {
-        let executed = !self.is_drawn_to_reject(id) && self.take_slot(deadline(request));
+    /// Runs or rejects a request. Returns the response, or `None` if the connection ends in its place.
+    fn handle(&self, request: &Request, id: &str, preceded_by: Option<String>) -> Option<Vec<u8>> {
+        let is_drawn_to_reject = self.draw("rejects", id, self.behavior.rejected_permille);
+        let executed = !is_drawn_to_reject && self.take_slot(deadline(request));
+        let lost = executed && self.draw("loses", id, self.behavior.lost_permille);
         let handled = HandledRequest {
             id: id.to_owned(),
             server: self.id.clone(),
             zone: self.zone.clone(),
             executed,
+            lost,
             preceded_by,
         };
         self.record.lock().expect("not poisoned").push(handled);
         if !executed {
-            return response(503, &[("X-Not-Executed", "1"), ("X-Request-Id", id)], "");
+            return Some(response(503, &[("X-Not-Executed", "1"), ("X-Request-Id", id)], ""));
         }
         thread::sleep(run_time(id));
         self.places().running -= 1;
         self.slot_released.notify_one();
-        completed(id)
+        (!lost).then(|| completed(id))
     }
 
-    fn is_drawn_to_reject(&self, id: &str) -> bool {
-        hash(&format!("{} {id}", self.id)) % 1000 < self.behavior.rejected_permille
+    /// Draws whether this server does something with a request; `permille` is the share of requests.
+    fn draw(&self, what: &str, id: &str, permille: u64) -> bool {
+        hash(&format!("{} {what} {id}", self.id)) % 1000 < permille
     }
 
     /// Waits for a slot. Returns whether the request has one: the queue is not full, and the deadline has not
@@ -220,6 +244,11 @@
     MIN_RUN_TIME + RUN_TIME_SPREAD.mul_f64((hash(id) % 1000) as f64 / 1000.0)
 }
 
+/// Returns how long a connection may be idle that the server closes.
+fn idle_timeout(id: &str) -> Duration {
+    MIN_IDLE_TIMEOUT + IDLE_TIMEOUT_SPREAD.mul_f64((hash(id) % 997) as f64 / 997.0)
+}
+
 fn hash(id: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     id.hash(&mut hasher);
