Gateway: an X-Timeout-Ms that is not a number counts as absent

Callers saw: the connection ended without a response to a request with 'X-Timeout-Ms: nan', since the conversion to a duration panicked. The new test panicked before this change and passes now.

--- a/data-plane/gateway/src/live/mod.rs
+++ b/data-plane/gateway/src/live/mod.rs
@@ -74,9 +74,10 @@
 }
 
 /// Returns the deadline for the response: the time of receipt plus the shorter of the client's
-/// `X-Timeout-Ms` ([`DEFAULT_TIMEOUT`] if absent) and the route's time limit, minus the margin.
+/// `X-Timeout-Ms` ([`DEFAULT_TIMEOUT`] if it is no number) and the route's time limit, minus the margin.
 fn deadline(request: &BufferedRequest, route: &Route) -> Instant {
     let stated = request.header(TIMEOUT_MS.as_str()).and_then(|ms| ms.trim().parse::<f64>().ok());
+    let stated = stated.filter(|ms| !ms.is_nan());
     let time_limit =
         stated.map_or(DEFAULT_TIMEOUT, |ms| Duration::from_secs_f64(ms.clamp(0.0, 1e9) / 1000.0));
     request.received_at + time_limit.min(route.timeout).saturating_sub(RESPONSE_MARGIN)
--- a/data-plane/gateway/src/live/tests.rs
+++ b/data-plane/gateway/src/live/tests.rs
@@ -55,6 +55,14 @@
     assert_eq!(time_limit_ms(Some("-5"), &route), 0);
 }
 
+// The task of the connection panicked.
+#[test]
+fn a_timeout_that_is_not_a_number_counts_as_absent() {
+    let route = route(60_000);
+    assert_eq!(time_limit_ms(Some("nan"), &route), 29_985);
+    assert_eq!(time_limit_ms(Some("inf"), &route), 59_985);
+}
+
 #[test]
 fn only_end_to_end_headers_are_sent_to_servers() {
     let headers = [("Connection", "X-Hop"), ("X-Hop", "1"), ("Content-Length", "4"), ("X-Own", "2")];
