--- a/data-plane/gateway/tests/process/late_responses.rs
+++ b/data-plane/gateway/tests/process/late_responses.rs
@@ -3,15 +3,11 @@
 
 use crate::stand_ins::{
     completed, configuration, response, wait_for, Coordinator, Gateway, ModelServer, Stores, HOST,
+    STREAM_ROUTE,
 };
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 
-/// A route of streams that may not be resumed, so that each request may run once.
-const ROUTE: &str = r#"{"name":"route","hostname":"pay.example","path_prefix":"/query/",
-    "route_type":"streaming","timeout_ms":2000,"target_latency_ms":300,"priority":0,"backend":"service",
-    "attempts":1,"resumable":false}"#;
-
 /// Counts how often each request has run.
 type Runs = Arc<Mutex<HashMap<String, u32>>>;
 
@@ -38,7 +34,7 @@
     let servers = ["server-1", "server-2"].map(|id| repeating_server(id, &runs, has_request_ids));
     let stores = Stores::start();
     let coordinator = Coordinator::start(stores.address(), servers.iter().map(ModelServer::entry).collect());
-    coordinator.set_configuration(&configuration(1, &[ROUTE.to_owned()]));
+    coordinator.set_configuration(&configuration(1, &[STREAM_ROUTE.to_owned()]));
     let gateway = Gateway::start_with_request_log(&coordinator);
     let mut next_id = 0;
     let (id, status) = wait_for("a request on a reused connection", || {
--- a/data-plane/gateway/tests/process/repeated_responses.rs
+++ b/data-plane/gateway/tests/process/repeated_responses.rs
@@ -3,7 +3,7 @@
 
 use crate::stand_ins::{
     configuration, wait_for, Behavior, Coordinator, Gateway, HandledRequest, QueueingServer, Record,
-    Repetition, Stores, HOST, PROMISES,
+    Repetition, Stores, HOST, PROMISES, STREAM_ROUTE,
 };
 use std::collections::HashMap;
 use std::fmt::Write as _;
@@ -11,10 +11,6 @@
 use std::thread;
 use std::time::Duration;
 
-/// A route of streams that may not be resumed, so that each request may run once.
-const ROUTE: &str = r#"{"name":"route","hostname":"pay.example","path_prefix":"/query/",
-    "route_type":"streaming","timeout_ms":2000,"target_latency_ms":300,"priority":0,"backend":"service",
-    "attempts":1,"resumable":false}"#;
 const ZONES: [&str; 3] = ["a", "b", "c"];
 const SERVERS_PER_ZONE: usize = 3;
 /// One response in this many is sent twice.
@@ -125,7 +121,7 @@
         let stores = Stores::start();
         let entries = servers.iter().map(QueueingServer::entry).collect();
         let coordinator = Coordinator::start(stores.address(), entries);
-        coordinator.set_configuration(&configuration(1, &[ROUTE.to_owned()]));
+        coordinator.set_configuration(&configuration(1, &[STREAM_ROUTE.to_owned()]));
         let gateways = ZONES.iter().map(|zone| Gateway::start_in_zone(zone, &coordinator)).collect();
         Fleet { servers, gateways, record, _coordinator: coordinator, _stores: stores }
     }
--- a/data-plane/gateway/tests/process/stand_ins/configuration.rs
+++ b/data-plane/gateway/tests/process/stand_ins/configuration.rs
@@ -3,6 +3,11 @@
 /// Host of all routes.
 pub const HOST: &str = "pay.example";
 
+/// A route of streams that may not be resumed, so that each request may run once.
+pub const STREAM_ROUTE: &str = r#"{"name":"route","hostname":"pay.example","path_prefix":"/query/",
+    "route_type":"streaming","timeout_ms":2000,"target_latency_ms":300,"priority":0,"backend":"service",
+    "attempts":1,"resumable":false}"#;
+
 /// Returns a configuration of the service of the stand-in servers with these routes.
 pub fn configuration(generation: u64, routes: &[String]) -> String {
     format!(
--- a/data-plane/gateway/tests/process/stand_ins/mod.rs
+++ b/data-plane/gateway/tests/process/stand_ins/mod.rs
@@ -8,7 +8,7 @@
 mod queueing_server;
 mod stores;
 
-pub use configuration::{configuration, BatchRoute, HOST};
+pub use configuration::{configuration, BatchRoute, HOST, STREAM_ROUTE};
 pub use coordinator::Coordinator;
 pub use gateway::Gateway;
 pub use http::{completed, response, signed_headers, Response, PROMISES};
--- a/data-plane/gateway/tests/process/unproven_promises.rs
+++ b/data-plane/gateway/tests/process/unproven_promises.rs
@@ -2,16 +2,12 @@
 
 use crate::stand_ins::{
     configuration, response, signed_headers, wait_for, BatchRoute, Coordinator, Gateway, ModelServer, Stores,
-    HOST, PROMISES,
+    HOST, PROMISES, STREAM_ROUTE,
 };
 use marblecroft_protocol::store::StoreReply;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 
-/// A route of streams that may not be resumed, so that each request may run once.
-const ROUTE: &str = r#"{"name":"route","hostname":"pay.example","path_prefix":"/query/",
-    "route_type":"streaming","timeout_ms":2000,"target_latency_ms":300,"priority":0,"backend":"service",
-    "attempts":1,"resumable":false}"#;
 const BATCH_ROUTE: BatchRoute = BatchRoute { prefix: "/batch/", attempts: 3, max_queued_tokens: 1000 };
 const JOB: &str =
     r#"{"requests":[{"id":"item","path":"/batch/1","headers":{},"body":"Ym9keQ==","tokens":10}]}"#;
@@ -29,7 +25,7 @@
         });
         let stores = Stores::start();
         let coordinator = Coordinator::start(stores.address(), vec![server.entry()]);
-        coordinator.set_configuration(&configuration(1, &[ROUTE.to_owned()]));
+        coordinator.set_configuration(&configuration(1, &[STREAM_ROUTE.to_owned()]));
         let gateway = Gateway::start(&coordinator);
         // The gateway rejects requests by itself until it can send them.
         let response = wait_for("a request that has run", || {
