--- a/data-plane/gateway/src/upstream/classify.rs
+++ b/data-plane/gateway/src/upstream/classify.rs
@@ -65,8 +65,8 @@
 pub enum ResponseClass {
     /// The server promises that it has not executed the request and will not.
     NotExecuted,
-    /// The response belongs to another request, does not come from the server itself, cannot be
-    /// read, or has a status that promises what it does not prove. The request may have been executed. The connection must not be reused.
+    /// Belongs to another request, is not the server's own, cannot be read, or promises without proof.
+    /// The request may have been executed. The connection must not be reused.
     Untrusted,
     /// A 2xx response to this request from the server itself.
     Success,
