--- a/data-plane/gateway/tests/process/late_responses.rs
+++ b/data-plane/gateway/tests/process/late_responses.rs
@@ -2,8 +2,7 @@
 //! request on the connection, and must not be taken for it.
 
 use crate::stand_ins::{
-    completed, configuration, response, wait_for, Coordinator, Gateway, ModelServer, Stores, HOST,
-    STREAM_ROUTE,
+    completed, configuration, response, wait_for, Coordinator, Gateway, ModelServer, Stores, STREAM_ROUTE,
 };
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
@@ -40,8 +39,7 @@
     let (id, status) = wait_for("a request on a reused connection", || {
         next_id += 1;
         let id = format!("request-{next_id}");
-        let headers = [("Host", HOST), ("X-Request-Id", id.as_str()), ("X-Timeout-Ms", "2000")];
-        let status = gateway.post("/query/1", &headers, "body").expect("a response").status();
+        let status = gateway.post_query(&id).expect("a response").status();
         runs.lock().expect("not poisoned").contains_key(&id).then_some((id, status))
     });
     assert_eq!(runs.lock().expect("not poisoned").get(&id), Some(&1), "runs of {id}, answered {status}");
--- a/data-plane/gateway/tests/process/repeated_responses.rs
+++ b/data-plane/gateway/tests/process/repeated_responses.rs
@@ -3,7 +3,7 @@
 
 use crate::stand_ins::{
     configuration, wait_for, Behavior, Coordinator, Gateway, HandledRequest, QueueingServer, Record,
-    Repetition, Stores, HOST, PROMISES, STREAM_ROUTE,
+    Repetition, Stores, PROMISES, STREAM_ROUTE,
 };
 use std::collections::HashMap;
 use std::fmt::Write as _;
@@ -135,7 +135,7 @@
                     for index in 0..scenario.requests_per_burst {
                         let (sent, id) = (&sent, format!("{seed}-{burst}-{zone}-{index}"));
                         scope.spawn(move || {
-                            let status = send(gateway, &id);
+                            let status = gateway.post_query(&id).ok().map(|response| response.status());
                             sent.lock().expect("not poisoned").push(Sent { id, zone, status });
                         });
                     }
@@ -148,11 +148,6 @@
     }
 }
 
-fn send(gateway: &Gateway, id: &str) -> Option<u16> {
-    let headers = [("Host", HOST), ("X-Request-Id", id), ("X-Timeout-Ms", "2000")];
-    gateway.post("/query/1", &headers, "body").ok().map(|response| response.status())
-}
-
 /// What broke the rules, as lines like those of the operators' record.
 #[derive(Default)]
 struct Violations {
--- a/data-plane/gateway/tests/process/stand_ins/gateway.rs
+++ b/data-plane/gateway/tests/process/stand_ins/gateway.rs
@@ -1,6 +1,6 @@
 //! The gateway process under test.
 
-use super::{unused_ip, wait_for, Coordinator, Response, INTERNAL_PORT};
+use super::{unused_ip, wait_for, Coordinator, Response, HOST, INTERNAL_PORT};
 use std::ffi::OsString;
 use std::fs::{self, File};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -80,6 +80,12 @@
         fs::read_to_string(self.folder.join(LOG_FILE)).expect("readable")
     }
 
+    /// Sends a client's request on [`super::STREAM_ROUTE`].
+    pub fn post_query(&self, id: &str) -> std::io::Result<Response> {
+        let headers = [("Host", HOST), ("X-Request-Id", id), ("X-Timeout-Ms", "2000")];
+        self.post("/query/1", &headers, "body")
+    }
+
     /// Sends a client's request.
     pub fn post(&self, path: &str, headers: &[(&str, &str)], body: &str) -> std::io::Result<Response> {
         let address = SocketAddr::from((self.ip, CLIENT_PORT));
--- a/data-plane/gateway/tests/process/stand_ins/model_server.rs
+++ b/data-plane/gateway/tests/process/stand_ins/model_server.rs
@@ -24,32 +24,44 @@
     where
         F: Fn(&Request, &[Vec<u8>]) -> Vec<u8> + Send + Sync + 'static,
     {
-        let listener = TcpListener::bind((unused_ip(), 0)).expect("a port is free");
-        let address = listener.local_addr().expect("bound");
-        let handler = Arc::new(handler);
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let handler = handler.clone();
-                thread::spawn(move || serve_connection(stream, handler.as_ref()));
-            }
-        });
+        let address = accept_connections(move |stream| serve_connection(stream, &handler));
         ModelServer { id: id.to_owned(), address }
     }
 
     /// Returns the server's entry in the list of servers.
     pub fn entry(&self) -> Server {
-        Server {
-            id: self.id.clone(),
-            backend: "service".to_owned(),
-            address: self.address,
-            zone: "a".to_owned(),
-            slots: SLOTS,
-            draining: false,
-            warmup_left_ms: 0,
-        }
+        entry(&self.id, "a", self.address, SLOTS)
+    }
+}
+
+/// Returns the entry of a server in the list of servers.
+pub(super) fn entry(id: &str, zone: &str, address: SocketAddr, slots: u32) -> Server {
+    Server {
+        id: id.to_owned(),
+        backend: "service".to_owned(),
+        address,
+        zone: zone.to_owned(),
+        slots,
+        draining: false,
+        warmup_left_ms: 0,
     }
 }
 
+/// Accepts connections at an unused address, and calls `serve` with each on a thread of its own. Returns the
+/// address.
+pub(super) fn accept_connections(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind((unused_ip(), 0)).expect("a port is free");
+    let address = listener.local_addr().expect("bound");
+    let serve = Arc::new(serve);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = serve.clone();
+            thread::spawn(move || serve(stream));
+        }
+    });
+    address
+}
+
 fn serve_connection(mut stream: TcpStream, handler: &impl Fn(&Request, &[Vec<u8>]) -> Vec<u8>) {
     let Ok(reader) = stream.try_clone() else { return };
     let mut reader = BufReader::new(reader);
--- a/data-plane/gateway/tests/process/stand_ins/queueing_server.rs
+++ b/data-plane/gateway/tests/process/stand_ins/queueing_server.rs
@@ -2,12 +2,12 @@
 //! it sends some of its responses twice.
 
 use super::http::{completed, response, Request};
-use super::unused_ip;
+use super::model_server::{accept_connections, entry};
 use marblecroft_protocol::servers::Server;
 use socket2::SockRef;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::{self, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -70,12 +70,14 @@
 pub type Record = Arc<Mutex<Vec<HandledRequest>>>;
 
 /// The stand-in.
-pub struct QueueingServer(Arc<State>);
+pub struct QueueingServer {
+    state: Arc<State>,
+    address: SocketAddr,
+}
 
 struct State {
     id: String,
     zone: String,
-    address: SocketAddr,
     behavior: Behavior,
     record: Record,
     places: Mutex<Places>,
@@ -97,43 +99,28 @@
 impl QueueingServer {
     /// Starts a server that adds the requests that it handles to `record`.
     pub fn start(id: &str, zone: &str, behavior: Behavior, record: &Record) -> QueueingServer {
-        let listener = TcpListener::bind((unused_ip(), 0)).expect("a port is free");
         let state = Arc::new(State {
             id: id.to_owned(),
             zone: zone.to_owned(),
-            address: listener.local_addr().expect("bound"),
             behavior,
             record: record.clone(),
             places: Mutex::default(),
             slot_released: Condvar::new(),
         });
-        let accepting = state.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let state = accepting.clone();
-                // A connection that the gateway closes is no fault.
-                thread::spawn(move || drop(state.serve_connection(stream)));
-            }
-        });
-        QueueingServer(state)
+        let serving = state.clone();
+        // A connection that the gateway closes is no fault.
+        let address = accept_connections(move |stream| drop(serving.serve_connection(stream)));
+        QueueingServer { state, address }
     }
 
     /// Returns the server's entry in the list of servers.
     pub fn entry(&self) -> Server {
-        Server {
-            id: self.0.id.clone(),
-            backend: "service".to_owned(),
-            address: self.0.address,
-            zone: self.0.zone.clone(),
-            slots: self.0.behavior.slots,
-            draining: false,
-            warmup_left_ms: 0,
-        }
+        entry(&self.state.id, &self.state.zone, self.address, self.state.behavior.slots)
     }
 
     /// Returns whether no request runs or waits.
     pub fn is_idle(&self) -> bool {
-        let places = self.0.places();
+        let places = self.state.places();
         places.running == 0 && places.waiting == 0
     }
 }
